--- /dev/null
+++ b/crates/connection/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Connections to upstreams: pool, limit share, silence detection, health and quarantine.
--- /dev/null
+++ b/crates/process/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! The fleet: membership, relay sets, peer exchange and host life.
--- /dev/null
+++ b/crates/process/meter/src/lib.rs
@@ -0,0 +1,1 @@
+//! Metrics and logs of a host.
--- /dev/null
+++ b/crates/process/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! The platform's key-value service: client, commit of records and claims.
--- /dev/null
+++ b/crates/request/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission of whole queries: ranks, tenants, deadlines and the adaptive window.
--- /dev/null
+++ b/crates/test/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for upstreams.
--- /dev/null
+++ b/crates/test/model/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model checking of commit, claims and snapshot pins.
--- /dev/null
+++ b/crates/test/trial/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments under paused time over the decision code.
--- /dev/null
+++ b/crates/version/record/src/lib.rs
@@ -0,0 +1,80 @@
+//! Records: schema versions, checked records, the manifest and the order of adoption.
+//!
+//! Operators write records as TOML files; hosts and the platform's store
+//! exchange them as JSON. Both are raw input. [`Record`] is the checked form,
+//! built once by `TryFrom` and then used without further checks.
+
+mod id;
+mod limits;
+mod rank;
+mod raw;
+mod route;
+mod service;
+
+pub use crate::{
+    id::{
+        HostId, IndexVersion, RecordVersion, RegionId, Revision, ServerAddr, ShardId, TenantId,
+        ZoneId,
+    },
+    limits::{MAX_RECORD_BYTES, MAX_SHARDS},
+    rank::{ByRank, Rank},
+    raw::{
+        RawCoverage, RawFloors, RawHedge, RawIndex, RawRecord, RawRoute, RawServer, RawService,
+        RawShard,
+    },
+    route::{Coverage, Hedge, Route, WhenShort},
+    service::{Index, Server, Service, Shard},
+};
+
+use kind::{Error, Kind, Result};
+
+/// A checked record of any kind.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    /// How callers reach a service.
+    Route(Route),
+    /// Where the shards of a service live.
+    Service(Service),
+}
+
+impl Record {
+    /// Reads a record from the TOML text that operators write.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::BadRecord`] with the path to the field for malformed
+    /// text, unknown fields and values out of range.
+    pub fn from_toml(text: &str) -> Result<Self> {
+        Self::try_from(RawRecord::from_toml(text)?)
+    }
+
+    /// Reads a record from the JSON text used on the wire.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::BadRecord`] as [`Record::from_toml`] does.
+    pub fn from_json(text: &str) -> Result<Self> {
+        Self::try_from(RawRecord::from_json(text)?)
+    }
+
+    /// Returns the name of the record.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Route(route) => &route.name,
+            Self::Service(service) => &service.name,
+        }
+    }
+
+    /// Returns the version of the record.
+    pub fn version(&self) -> RecordVersion {
+        match self {
+            Self::Route(route) => route.version,
+            Self::Service(service) => service.version,
+        }
+    }
+}
+
+/// Creates the error for a field that does not pass its check.
+pub(crate) fn bad_field(path: &str, problem: impl std::fmt::Display) -> Error {
+    Error::new(Kind::BadRecord, format!("{path}: {problem}"))
+}
