Answer a query over the whole path as separate processes

Cause: nothing ran yet. The path is thin but whole: wharfctl commits a service and a route by compare-and-swap of the head, two hosts adopt it by watch, an entry outside the relay set forwards over tarpc to the relay, which calls every shard and merges.

Ruled out: a hyper-util pooled client towards upstreams, since it has no bound on connections for each server, and upstreams refuse above theirs.

--- /dev/null
+++ b/crates/process/fleet/src/wire.rs
@@ -0,0 +1,93 @@
+//! What hosts say to each other.
+//!
+//! The types stand apart from those that the host works with, so that either
+//! can change alone. A field that a newer release adds has a default, because
+//! hosts of two releases talk to each other during a replacement.
+
+use {
+    kind::{Ran, Result},
+    plan::{Answer, CoverageReport, ShardRows},
+    record::{IndexVersion, Rank, RecordVersion, Revision, ShardId, TenantId},
+    serde::{Deserialize, Serialize},
+    serde_json::value::RawValue,
+};
+
+/// Version of the protocol between hosts.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// A query on its way from an entry to a relay.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct QueryCall {
+    /// Version of the protocol that the sender speaks.
+    pub protocol_version: u32,
+    /// Identifier of the request, in hexadecimal.
+    pub request_id: String,
+    /// Name of the route.
+    pub route: String,
+    /// Version of the route.
+    pub route_version: RecordVersion,
+    /// Tenant.
+    pub tenant: TenantId,
+    /// Rank.
+    pub rank: Rank,
+    /// Time that is left for the relay, in milliseconds.
+    pub time_left_ms: u64,
+    /// Query for the upstreams.
+    pub query: Box<RawValue>,
+}
+
+/// Rows of one shard on the wire.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WireRows {
+    /// Number of the shard.
+    pub shard: ShardId,
+    /// Rows found.
+    pub rows: Box<RawValue>,
+}
+
+/// The answer of a relay to an entry.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct QueryAnswer {
+    /// Identifier of the request that this answers, in hexadecimal.
+    pub request_id: String,
+    /// Revision of the configuration that the relay used.
+    pub revision: Revision,
+    /// Index version that every row comes from.
+    pub index_version: IndexVersion,
+    /// What the answer covers.
+    pub coverage: CoverageReport,
+    /// Rows, by rising shard number.
+    pub rows: Vec<WireRows>,
+    /// Whether the request was executed anywhere.
+    pub ran: Ran,
+}
+
+impl QueryAnswer {
+    /// Creates the wire form of an answer.
+    pub fn new(request_id: String, revision: Revision, answer: Answer<Box<RawValue>>) -> Self {
+        Self {
+            request_id,
+            revision,
+            index_version: answer.version,
+            coverage: answer.coverage,
+            rows: answer.rows.into_iter().map(WireRows::from).collect(),
+            ran: answer.ran,
+        }
+    }
+}
+
+impl From<ShardRows<Box<RawValue>>> for WireRows {
+    fn from(rows: ShardRows<Box<RawValue>>) -> Self {
+        Self {
+            shard: rows.shard,
+            rows: rows.rows,
+        }
+    }
+}
+
+/// The service that every host offers its peers.
+#[tarpc::service]
+pub trait Peer {
+    /// Runs a query as its relay.
+    async fn query(call: QueryCall) -> Result<QueryAnswer>;
+}
--- /dev/null
+++ b/crates/process/host/src/admin/mod.rs
@@ -0,0 +1,64 @@
+//! The administration API.
+
+mod auth;
+mod records;
+
+use {
+    crate::{
+        entry::{serve_fallback, serve_method_fallback, Problem},
+        shared::Shared,
+    },
+    axum::{
+        extract::{DefaultBodyLimit, State},
+        middleware,
+        routing::{get, put},
+        Json, Router,
+    },
+    fleet::Member,
+    kind::{Error, Kind},
+    record::{HostId, Revision, MAX_RECORD_BYTES},
+    serde::Serialize,
+    std::sync::Arc,
+};
+
+/// Returns the routes for operators.
+pub(crate) fn router(shared: Arc<Shared>) -> Router {
+    let guarded = Router::new()
+        .route("/v1/admin/records", get(records::list))
+        .route("/v1/admin/records/{name}/{version}", put(records::put))
+        .route("/v1/admin/fleet", get(fleet))
+        .layer(DefaultBodyLimit::max(MAX_RECORD_BYTES * 2))
+        .layer(middleware::from_fn_with_state(
+            Arc::clone(&shared),
+            auth::check_token,
+        ));
+    Router::new()
+        .merge(guarded)
+        .route("/healthz", get(|| async { "ok\n" }))
+        .route("/metrics", get(metrics))
+        .fallback(serve_fallback)
+        .method_not_allowed_fallback(serve_method_fallback)
+        .with_state(shared)
+}
+
+#[derive(Serialize)]
+struct FleetStated {
+    host: HostId,
+    revision: Revision,
+    members: Vec<Member>,
+}
+
+async fn fleet(State(shared): State<Arc<Shared>>) -> Json<FleetStated> {
+    Json(FleetStated {
+        host: shared.settings.member.id.clone(),
+        revision: shared.in_force().revision(),
+        members: shared.members.all().to_vec(),
+    })
+}
+
+async fn metrics(State(shared): State<Arc<Shared>>) -> Result<String, Problem> {
+    shared
+        .metrics
+        .expose()
+        .map_err(|e| Problem(Error::new(Kind::Internal, e.to_string())))
+}
--- /dev/null
+++ b/crates/process/host/src/entry/answer.rs
@@ -0,0 +1,62 @@
+//! The envelope of an answer.
+
+use {
+    fleet::{QueryAnswer, WireRows},
+    plan::CoverageReport,
+    record::{IndexVersion, RecordVersion, Revision, Route},
+    serde::Serialize,
+};
+
+/// The answer that a caller gets.
+#[derive(Serialize)]
+pub(crate) struct Envelope {
+    request_id: String,
+    record: RecordStated,
+    snapshot: SnapshotStated,
+    coverage: CoverageStated,
+    results: Vec<WireRows>,
+}
+
+#[derive(Serialize)]
+struct RecordStated {
+    name: String,
+    version: RecordVersion,
+    revision: Revision,
+}
+
+#[derive(Serialize)]
+struct SnapshotStated {
+    service: String,
+    index_version: IndexVersion,
+}
+
+#[derive(Serialize)]
+struct CoverageStated {
+    is_complete: bool,
+    share: f64,
+    #[serde(flatten)]
+    report: CoverageReport,
+}
+
+impl Envelope {
+    pub(crate) fn new(route: &Route, answer: QueryAnswer) -> Self {
+        Self {
+            request_id: answer.request_id,
+            record: RecordStated {
+                name: route.name.clone(),
+                version: route.version,
+                revision: answer.revision,
+            },
+            snapshot: SnapshotStated {
+                service: route.service.clone(),
+                index_version: answer.index_version,
+            },
+            coverage: CoverageStated {
+                is_complete: answer.coverage.is_complete(),
+                share: answer.coverage.share(),
+                report: answer.coverage,
+            },
+            results: answer.rows,
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/host/src/entry/mod.rs
@@ -0,0 +1,11 @@
+//! The entry: takes queries of callers and answers them.
+
+mod answer;
+mod headers;
+mod problem;
+mod query;
+
+pub(crate) use {
+    problem::Problem,
+    query::{router, serve_fallback, serve_method_fallback},
+};
--- a/crates/process/host/src/lib.rs
+++ b/crates/process/host/src/lib.rs
@@ -1,1 +1,21 @@
 //! One host of the tier: entry, relay, administration and the loops between them.
+//!
+//! The decisions live in crates of their own and do no I/O. This crate is the
+//! shell around them: it owns the sockets and the tasks, feeds events in and
+//! carries actions out.
+
+mod admin;
+mod config;
+mod entry;
+mod life;
+mod members;
+mod peer;
+mod relay;
+mod run;
+mod settings;
+mod shared;
+
+pub use crate::{
+    run::{run, RunningHost},
+    settings::{RawSettings, Settings},
+};
--- /dev/null
+++ b/crates/process/host/src/relay/mod.rs
@@ -0,0 +1,7 @@
+//! The relay: runs whole queries against the servers of a service.
+
+mod leaf;
+pub(crate) mod pool;
+mod query;
+
+pub(crate) use query::serve;
--- /dev/null
+++ b/crates/process/host/src/relay/query.rs
@@ -0,0 +1,139 @@
+//! One query on its relay: feeds the plan with events and carries its actions out.
+
+use {
+    crate::{relay::leaf, shared::Shared},
+    fleet::{QueryAnswer, QueryCall},
+    futures::{
+        future::{AbortHandle, Abortable},
+        stream::{FuturesUnordered, StreamExt},
+    },
+    kind::{Error, Kind, Result},
+    plan::{Action, Answer, AttemptId, Event, Gather, LeafCall, Limits, Pin, RequestId, Upstreams},
+    record::{ServerAddr, Shard},
+    serde_json::value::RawValue,
+    std::{
+        collections::HashMap,
+        future::Future,
+        time::{Duration, Instant},
+    },
+    tokio::{select, time::sleep_until},
+};
+
+type Rows = Box<RawValue>;
+
+/// Serves a query and returns its answer.
+///
+/// # Errors
+///
+/// Returns the error kinds that the table lists for routes, hosts and upstreams.
+pub(crate) async fn serve(shared: &Shared, call: QueryCall) -> Result<QueryAnswer> {
+    let _in_flight = shared
+        .life
+        .enter()
+        .ok_or_else(|| Error::new(Kind::Draining, "the relay takes no new work"))?;
+    let now = Instant::now();
+    let in_force = shared.in_force();
+    let route = in_force.route(&call.route, Some(call.route_version))?;
+    let service = in_force.service(&route.service)?;
+    let request_id = RequestId::from_str_radix(&call.request_id, 16)
+        .map_err(|_| Error::new(Kind::Internal, "malformed request id"))?;
+    let pin = Pin::newest(&service)
+        .ok_or_else(|| Error::new(Kind::Internal, "the service has no index"))?;
+    let limits = Limits {
+        deadline: now + Duration::from_millis(call.time_left_ms),
+        is_repeatable: route.repeatable,
+    };
+    let run = Run {
+        shared,
+        service: &service.name,
+        request_id: &call.request_id,
+        query: &call.query,
+        connection_limit: service.connection_limit,
+    };
+    let answer = run.drive(Gather::new(request_id, pin, limits)).await;
+    Ok(QueryAnswer::new(
+        call.request_id.clone(),
+        in_force.revision(),
+        answer,
+    ))
+}
+
+struct Run<'a> {
+    shared: &'a Shared,
+    service: &'a str,
+    request_id: &'a str,
+    query: &'a RawValue,
+    connection_limit: u32,
+}
+
+/// Picks servers in the order of the record.
+struct InOrder;
+
+impl Upstreams for InOrder {
+    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], _: Instant) -> Option<ServerAddr> {
+        let mut servers = shard.servers.iter().map(|server| server.addr);
+        servers
+            .clone()
+            .find(|s| !tried.contains(s))
+            .or_else(|| servers.next())
+    }
+}
+
+impl Run<'_> {
+    async fn drive(&self, mut gather: Gather<Rows>) -> Answer<Rows> {
+        let mut calls = FuturesUnordered::new();
+        let mut handles: HashMap<AttemptId, AbortHandle> = HashMap::new();
+        let mut actions = gather.start(&mut InOrder, Instant::now());
+        loop {
+            for action in actions {
+                match action {
+                    Action::Call(call) => {
+                        let (handle, registration) = AbortHandle::new_pair();
+                        handles.insert(call.attempt_id, handle);
+                        calls.push(Abortable::new(self.make_call(call), registration));
+                    }
+                    Action::Cancel(attempt_id) => {
+                        if let Some(handle) = handles.remove(&attempt_id) {
+                            handle.abort();
+                        }
+                    }
+                    Action::Finish(answer) => return answer,
+                }
+            }
+            let event = next_event(&mut calls, gather.next_wake()).await;
+            actions = gather.on_event(event, &mut InOrder, Instant::now());
+        }
+    }
+
+    async fn make_call(&self, call: LeafCall) -> Event<Rows> {
+        self.shared.metrics.on_leaf_call(self.service, "first");
+        let attempt_id = call.attempt_id;
+        let wire = leaf::WireCall::new(self.request_id, &call, self.query);
+        let pool = self.shared.pools.get(call.server, self.connection_limit);
+        match leaf::call(&pool, &call, &wire).await {
+            Ok(reply) => Event::Replied(attempt_id, reply),
+            Err(failure) => Event::Failed(attempt_id, failure),
+        }
+    }
+}
+
+async fn next_event<F>(
+    calls: &mut FuturesUnordered<Abortable<F>>,
+    wake: Option<Instant>,
+) -> Event<Rows>
+where
+    F: Future<Output = Event<Rows>>,
+{
+    let wake = wake.unwrap_or_else(Instant::now);
+    loop {
+        select! {
+            () = sleep_until(wake.into()) => return Event::Wake,
+            Some(done) = calls.next() => {
+                // A cancelled call brings nothing.
+                if let Ok(event) = done {
+                    return event;
+                }
+            }
+        }
+    }
+}
--- a/crates/process/kind/src/error.rs
+++ b/crates/process/kind/src/error.rs
@@ -6,8 +6,8 @@
     std::{fmt, time::Duration},
 };
 
-/// A result whose error is an [`Error`].
-pub type Result<T> = std::result::Result<T, Error>;
+/// A result whose error is an [`Error`] unless named otherwise.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// A failure with its kind, what it says about execution, and a detail for people.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/process/meter/src/lib.rs
+++ b/crates/process/meter/src/lib.rs
@@ -1,1 +1,12 @@
 //! Metrics and logs of a host.
+//!
+//! Metrics go through opentelemetry and come out as a Prometheus exposition.
+//! Logs are short sentences behind a prefix that names the part.
+
+mod logs;
+mod metrics;
+
+pub use crate::{
+    logs::{start_logs, LogFormat},
+    metrics::{Metrics, QueryLabels},
+};
--- a/crates/version/record/src/lib.rs
+++ b/crates/version/record/src/lib.rs
@@ -4,7 +4,9 @@
 //! exchange them as JSON. Both are raw input. [`Record`] is the checked form,
 //! built once by `TryFrom` and then used without further checks.
 
+mod head;
 mod id;
+mod in_force;
 mod limits;
 mod rank;
 mod raw;
@@ -12,10 +14,12 @@
 mod service;
 
 pub use crate::{
+    head::{Head, HeadEntry, RecordKind},
     id::{
         HostId, IndexVersion, RecordVersion, RegionId, Revision, ServerAddr, ShardId, TenantId,
         ZoneId,
     },
+    in_force::InForce,
     limits::{MAX_RECORD_BYTES, MAX_SHARDS},
     rank::{ByRank, Rank},
     raw::{
@@ -57,6 +61,14 @@
         Self::try_from(RawRecord::from_json(text)?)
     }
 
+    /// Returns the kind of the record.
+    pub fn kind(&self) -> RecordKind {
+        match self {
+            Self::Route(_) => RecordKind::Route,
+            Self::Service(_) => RecordKind::Service,
+        }
+    }
+
     /// Returns the name of the record.
     pub fn name(&self) -> &str {
         match self {
