--- a/crates/bin/wharfctl/src/command.rs
+++ b/crates/bin/wharfctl/src/command.rs
@@ -1,6 +1,9 @@
 //! The definition of the command line.
 
-use clap::{value_parser, Arg, ArgAction, Command};
+use {
+    clap::{value_parser, Arg, ArgAction, Command},
+    std::net::SocketAddr,
+};
 
 /// Returns the definition of the command line.
 pub(crate) fn command() -> Command {
@@ -31,6 +34,7 @@
         .subcommand(Command::new("records").about("Lists the records in force"))
         .subcommand(Command::new("fleet").about("Shows the fleet as one host knows it"))
         .subcommand(query())
+        .subcommand(load())
 }
 
 fn files() -> Arg {
@@ -93,3 +97,83 @@
                 .help("Key of a request that may run only once"),
         )
 }
+
+fn load() -> Command {
+    Command::new("load")
+        .about("Sends an open-loop load and reports latency, coverage and refusals by rank")
+        .after_help(
+            "With --experiment, a TOML file names the phases:\n\n  seed = 1\n  [[phases]]\n  \
+             name = \"calm\"\n  duration_ms = 5000\n  urgent_per_s = 20\n  routine_per_s = 50\n  \
+             background_per_s = 50",
+        )
+        .arg(Arg::new("route").required(true).help("Name of the route"))
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .env("WHARF_ENTRY_ADDRS")
+                .default_value("127.0.0.1:7000")
+                .value_delimiter(',')
+                .value_parser(value_parser!(SocketAddr))
+                .help("Addresses for callers, used in turn"),
+        )
+        .arg(
+            Arg::new("body")
+                .long("body")
+                .default_value("{}")
+                .help("Query for the upstreams, as JSON"),
+        )
+        .arg(
+            Arg::new("deadline-ms")
+                .long("deadline-ms")
+                .value_parser(value_parser!(u64))
+                .help("Deadline of each query in milliseconds"),
+        )
+        .arg(
+            Arg::new("tenants")
+                .long("tenants")
+                .default_value("4")
+                .value_parser(value_parser!(u32).range(1..=10_000))
+                .help("Number of tenants, used in turn"),
+        )
+        .arg(rate("urgent-per-s", "Urgent queries a second"))
+        .arg(rate("routine-per-s", "Routine queries a second"))
+        .arg(rate("background-per-s", "Background queries a second"))
+        .arg(
+            Arg::new("duration-ms")
+                .long("duration-ms")
+                .default_value("10000")
+                .value_parser(value_parser!(u64))
+                .help("Duration in milliseconds"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("Seed of the arrival times"),
+        )
+        .arg(
+            Arg::new("experiment")
+                .long("experiment")
+                .help("File with the phases of an experiment, in place of the rates"),
+        )
+        .arg(
+            Arg::new("svg")
+                .long("svg")
+                .help("File for a plot of latency by quantile"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Prints the report as JSON"),
+        )
+}
+
+fn rate(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value("10")
+        .value_parser(value_parser!(f64))
+        .help(help)
+}
--- a/crates/bin/wharfctl/src/main.rs
+++ b/crates/bin/wharfctl/src/main.rs
@@ -3,6 +3,7 @@
 mod api;
 mod check;
 mod command;
+mod load;
 mod query;
 mod records;
 
@@ -17,6 +18,7 @@
         Some(("records", matches)) => records::list(matches).await,
         Some(("fleet", matches)) => records::fleet(matches).await,
         Some(("query", matches)) => query::run(matches).await,
+        Some(("load", matches)) => load::run(matches).await,
         // The command line demands a subcommand.
         _ => Ok(()),
     }
--- a/crates/process/host/examples/all_in_one.rs
+++ b/crates/process/host/examples/all_in_one.rs
@@ -1,4 +1,6 @@
 //! Runs everything in one process: stand-ins, two hosts, a record and a query.
+//!
+//! With `--keep-running` it then stays up and prints how to send load to it.
 
 use {
     anyhow::{ensure, Result},
@@ -12,7 +14,7 @@
     serde_json::{json, Value},
     std::net::SocketAddr,
     store::{ListedHost, Role},
-    tokio::{net::TcpListener, spawn},
+    tokio::{net::TcpListener, signal::ctrl_c, spawn},
 };
 
 const SHARDS: usize = 8;
@@ -55,12 +57,30 @@
     ensure!(answer.status.is_success(), "{}", answer.text);
     println!("{}", serde_json::to_string_pretty(&answer.json())?);
     println!("coverage: {}", answer.json()["coverage"]);
+    if std::env::args().any(|argument| argument == "--keep-running") {
+        keep_running(&hosts).await?;
+    }
     for host in hosts {
         host.shut_down().await;
     }
     Ok(())
 }
 
+async fn keep_running(hosts: &[RunningHost]) -> Result<()> {
+    let entries: Vec<_> = hosts.iter().map(|h| h.entry_addr.to_string()).collect();
+    println!("\nRunning until Ctrl-C. From another shell:");
+    println!(
+        "  cargo run --bin wharfctl -- load shortfall --entry {} --svg load.svg",
+        entries.join(",")
+    );
+    println!(
+        "  cargo run --bin wharfctl -- fleet --admin-addr {} --admin-token {TOKEN}",
+        hosts[0].admin_addr
+    );
+    ctrl_c().await?;
+    Ok(())
+}
+
 async fn listen() -> Result<TcpListener> {
     Ok(TcpListener::bind("127.0.0.1:0").await?)
 }
