Hold connections within a share of the limit and mend silent ones

Cause: the pool took the whole connection limit of a server for one relay, and a call on a connection gone silent waited until its deadline.

Change: a pool decision without I/O (share with headroom for replaced relays, most recently used first, idle retirement, warm-up, back-off at the limit), a suspicion time from the server's own times to first byte, and the sockets behind them. A fresh connection is used only after a byte came on it, so that a refusal at the limit is told apart from a crash, and is not a failure of the upstream. The stand-in can silence its open connections.

--- /dev/null
+++ b/crates/bin/wharf/tests/upstreams.rs
@@ -0,0 +1,120 @@
+//! Upstreams that limit, silence, shed, drain and crash, over separate processes.
+
+use {
+    anyhow::Result,
+    fakes::{
+        client::Answer,
+        process::{Layout, Path},
+        upstream::Behaviour,
+    },
+    http::StatusCode,
+    serde_json::{json, Value},
+};
+
+/// Header of a deadline of a second.
+const ONE_SECOND: (&str, &str) = ("x-wharf-deadline-ms", "1000");
+
+async fn query(path: &Path, item: usize) -> Result<Answer> {
+    let body = json!({ "item": item }).to_string();
+    let host = item % path.hosts.len();
+    path.query(host, "shortfall", &[ONE_SECOND], &body).await
+}
+
+/// Returns whether the answer covers every shard.
+fn is_complete(answer: &Answer) -> bool {
+    answer.status == StatusCode::OK && answer.json()["coverage"]["is_complete"] == Value::Bool(true)
+}
+
+/// Sends queries in waves of `width` and returns how many were answered in full.
+async fn complete_of(path: &Path, waves: usize, width: usize, first: usize) -> Result<usize> {
+    let mut complete = 0;
+    for wave in 0..waves {
+        let items = (0..width).map(|i| query(path, first + wave * width + i));
+        for answer in futures::future::join_all(items).await {
+            complete += usize::from(is_complete(&answer?));
+        }
+    }
+    Ok(complete)
+}
+
+#[tokio::test]
+async fn reads_succeed_after_every_pooled_connection_has_gone_silent() -> Result<()> {
+    let path = Path::start(Layout {
+        shards: 8,
+        ..Layout::default()
+    })
+    .await?;
+    path.configure().await?;
+    assert_eq!(complete_of(&path, 10, 4, 0).await?, 40);
+    path.silence_open_connections().await?;
+    // At least 99 of 100 inside a deadline of a second.
+    assert!(complete_of(&path, 25, 4, 1_000).await? >= 99);
+    Ok(())
+}
+
+#[tokio::test]
+async fn the_connection_limit_is_never_met_in_calm_and_never_passed_by_a_wave() -> Result<()> {
+    let path = Path::start(Layout {
+        hosts: 4,
+        relays: 4,
+        behaviour: Behaviour {
+            connection_limit: 12,
+            queue_limit: 100,
+            ..Behaviour::default()
+        },
+        ..Layout::default()
+    })
+    .await?;
+    path.configure().await?;
+    assert_eq!(complete_of(&path, 4, 40, 0).await?, 160);
+    let seen = path.seen().await?;
+    // Four relays with room for a fifth have two connections each. Room is left
+    // also for a connection whose close has not reached the server yet.
+    assert!(seen.peak_connections <= 12, "{}", seen.peak_connections);
+    assert_eq!(seen.refused_connections, 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_non_repeatable_request_on_a_silent_connection_runs_once_at_most() -> Result<()> {
+    let path = Path::start(Layout {
+        shards: 1,
+        servers_per_shard: 1,
+        ..Layout::default()
+    })
+    .await?;
+    path.configure().await?;
+    path.put_record(&Path::route_toml("booking", 1, false, ""))
+        .await?;
+    for host in 0..path.hosts.len() {
+        await_route(&path, host, "booking").await?;
+    }
+    for booking in 0..4 {
+        assert_eq!(complete_of(&path, 1, 2, 10 * booking).await?, 2);
+        path.silence_open_connections().await?;
+        let before = path.seen().await?;
+        let key = format!("slot-{booking}");
+        let headers = [ONE_SECOND, ("idempotency-key", key.as_str())];
+        let answer = path.query(0, "booking", &headers, "{}").await?;
+        let after = path.seen().await?;
+        let calls = after.calls - before.calls;
+        // Sent on a silent connection it is lost, else it runs once.
+        assert_eq!(calls, u64::from(is_complete(&answer)), "{}", answer.text);
+        if calls == 0 {
+            assert_eq!(answer.json()["ran"], "unknown", "{}", answer.text);
+        }
+    }
+    Ok(())
+}
+
+/// Waits until a host knows a route.
+async fn await_route(path: &Path, host: usize, route: &str) -> Result<()> {
+    for _ in 0..500 {
+        let answer = path.query(host, route, &[], "{}").await?;
+        if answer.json()["kind"] != "unknown-route" {
+            return Ok(());
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    anyhow::bail!("{route} is not in force on host {host}")
+}
--- a/crates/process/host/src/relay/leaf.rs
+++ b/crates/process/host/src/relay/leaf.rs
@@ -1,16 +1,18 @@
 //! One call to one upstream server over HTTP.
 
 use {
-    crate::relay::pool::{CheckoutError, Pool},
-    bytes::Bytes,
-    http::{header, HeaderValue, Method, Request, StatusCode},
-    http_body_util::{BodyExt, Full},
+    crate::relay::{
+        exchange::{exchange, LeafRequest},
+        pool::Pool,
+    },
+    http::StatusCode,
     kind::Ran,
+    link::Evidence,
     plan::{AttemptId, LeafCall, LeafFailure, LeafReply, Reason, RequestId},
     record::{IndexVersion, ShardId},
     serde::{Deserialize, Serialize},
     serde_json::value::RawValue,
-    tokio::time::timeout,
+    std::{sync::Arc, time::Instant},
 };
 
 /// A call as upstreams read it.
@@ -57,56 +59,35 @@
 ///
 /// Returns why there is no reply and whether the server executed the call.
 pub(crate) async fn call(
-    pool: &Pool,
+    pool: &Arc<Pool>,
     call: &LeafCall,
     wire: &WireCall<'_>,
+    is_repeatable: bool,
 ) -> Result<LeafReply<Box<RawValue>>, LeafFailure> {
-    let request = build_request(pool, call, wire).ok_or(failure(Reason::Lost, Ran::No))?;
-    let exchange = async {
-        let mut connection = pool.checkout().await.map_err(|error| match error {
-            CheckoutError::Refused => failure(Reason::Unreachable, Ran::No),
-        })?;
-        let sent = connection.sender.try_send_request(request).await;
-        let response = sent.map_err(|mut error| {
-            // A request that comes back was never written.
-            let ran = if error.take_message().is_some() {
-                Ran::No
-            } else {
-                Ran::Unknown
-            };
-            failure(Reason::Lost, ran)
-        })?;
-        let status = response.status();
-        let body = response
-            .into_body()
-            .collect()
-            .await
-            .map_err(|_| failure(Reason::Lost, Ran::Unknown))?
-            .to_bytes();
-        connection.give_back();
-        read_reply(status, &body)
-    };
-    timeout(call.time_left, exchange)
-        .await
-        .unwrap_or(Err(failure(Reason::Deadline, Ran::Unknown)))
+    let request = build_request(call, wire, is_repeatable).ok_or(failure(Reason::Lost, Ran::No))?;
+    match exchange(pool, &request).await {
+        Ok(exchanged) => read_reply(exchanged.status, &exchanged.body),
+        Err(unanswered) => Err(failure(reason_of(unanswered.evidence), unanswered.ran)),
+    }
 }
 
-fn build_request(
-    pool: &Pool,
-    call: &LeafCall,
-    wire: &WireCall<'_>,
-) -> Option<Request<Full<Bytes>>> {
-    let body = serde_json::to_vec(wire).ok()?;
-    Request::builder()
-        .method(Method::POST)
-        .uri(format!("/v1/shards/{}/search", call.shard))
-        .header(header::HOST, pool.host_header())
-        .header(
-            header::CONTENT_TYPE,
-            HeaderValue::from_static("application/json"),
-        )
-        .body(Full::new(Bytes::from(body)))
-        .ok()
+fn reason_of(evidence: Evidence) -> Reason {
+    match evidence {
+        Evidence::Unreachable => Reason::Unreachable,
+        Evidence::TimedOut => Reason::Deadline,
+        // A server at its connection limit refuses the call.
+        Evidence::Nothing => Reason::Shed,
+        _ => Reason::Lost,
+    }
+}
+
+fn build_request(call: &LeafCall, wire: &WireCall<'_>, is_repeatable: bool) -> Option<LeafRequest> {
+    Some(LeafRequest {
+        uri: format!("/v1/shards/{}/search", call.shard).parse().ok()?,
+        body: serde_json::to_vec(wire).ok()?.into(),
+        is_repeatable,
+        deadline: Instant::now() + call.time_left,
+    })
 }
 
 fn read_reply(status: StatusCode, body: &[u8]) -> Result<LeafReply<Box<RawValue>>, LeafFailure> {
--- a/crates/process/host/src/relay/pool.rs
+++ b/crates/process/host/src/relay/pool.rs
@@ -1,22 +1,43 @@
-//! Connections to upstream servers, a few for each.
+//! Connections to upstream servers: the sockets behind the pool decisions.
+//!
+//! A fresh connection is used only after the server has sent a byte on it. A
+//! server at its connection limit may accept and close at once, and only the
+//! byte tells that apart from a server that dies with a call in flight.
 
 use {
     bytes::Bytes,
-    http::HeaderValue,
-    http_body_util::Full,
+    http::{header, HeaderValue, Request},
+    http_body_util::{BodyExt, Full},
     hyper::client::conn::http1::{handshake, SendRequest},
     hyper_util::rt::TokioIo,
+    link::{Checkout, FirstByte, Lease, PoolConfig},
     parking_lot::Mutex,
     record::ServerAddr,
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{
         net::TcpStream,
-        spawn,
-        sync::{OwnedSemaphorePermit, Semaphore},
+        select, spawn,
+        sync::Notify,
+        time::{sleep_until, timeout},
     },
 };
 
-type Sender = SendRequest<Full<Bytes>>;
+/// Time for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for the first byte on a fresh or suspected connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after its last byte for which a connection counts as working.
+const PROVEN_FOR: Duration = Duration::from_millis(500);
+/// Time without use after which a spare connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Connections kept open to each server ahead of need.
+const WARM_CONNECTIONS: u32 = 2;
+
+pub(crate) type Sender = SendRequest<Full<Bytes>>;
 
 /// Pools of all servers.
 #[derive(Default)]
@@ -25,74 +46,212 @@
 /// Connections to one server.
 pub(crate) struct Pool {
     addr: ServerAddr,
-    permits: Arc<Semaphore>,
-    idle: Arc<Mutex<Vec<Sender>>>,
+    state: Mutex<State>,
+    freed: Notify,
+}
+
+struct State {
+    pool: link::Pool<Sender>,
+    first_byte: FirstByte,
 }
 
-/// A connection in use.
+/// A connection in use, closed when dropped.
 pub(crate) struct Connection {
-    pub(crate) sender: Sender,
-    idle: Arc<Mutex<Vec<Sender>>>,
-    _permit: OwnedSemaphorePermit,
+    pub(crate) is_reused: bool,
+    last_byte: Instant,
+    sender: Option<Sender>,
+    pool: Arc<Pool>,
 }
 
 /// Why there is no connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum CheckoutError {
-    /// The server cannot be reached or accepts no further connection.
-    Refused,
+    /// The server cannot be reached.
+    Unreachable,
+    /// The server accepts no further connection.
+    AtLimit,
 }
 
+/// Counts a connection being opened, until it is open or has failed.
+struct Opening<'a>(Option<&'a Pool>);
+
 impl Pools {
-    /// Returns the pool of a server, which may grow to `limit` connections.
-    pub(crate) fn get(&self, addr: ServerAddr, limit: u32) -> Arc<Pool> {
+    /// Returns the pool of a server, which may hold `share` connections.
+    pub(crate) fn get(&self, addr: ServerAddr, share: u32) -> Arc<Pool> {
         let mut pools = self.0.lock();
-        let pool = pools.entry(addr).or_insert_with(|| {
-            Arc::new(Pool {
-                addr,
-                permits: Arc::new(Semaphore::new(limit as usize)),
-                idle: Arc::default(),
-            })
-        });
+        let pool = pools
+            .entry(addr)
+            .or_insert_with(|| Arc::new(Pool::new(addr, share)));
+        pool.state.lock().pool.set_share(share);
         Arc::clone(pool)
     }
+
+    /// Closes what has been idle for long and opens what is wanted ahead of need.
+    ///
+    /// Pools of servers that are not `in_use` any more are dropped, which
+    /// closes their idle connections; calls in flight keep theirs.
+    pub(crate) fn upkeep(&self, in_use: &HashSet<ServerAddr>) {
+        let mut pools = self.0.lock();
+        pools.retain(|addr, _| in_use.contains(addr));
+        for pool in pools.values() {
+            pool.upkeep();
+        }
+    }
 }
 
 impl Pool {
+    fn new(addr: ServerAddr, share: u32) -> Self {
+        let config = PoolConfig {
+            share,
+            warm: WARM_CONNECTIONS,
+            idle_timeout: IDLE_TIMEOUT,
+        };
+        Self {
+            addr,
+            state: Mutex::new(State {
+                pool: link::Pool::new(config),
+                first_byte: FirstByte::default(),
+            }),
+            freed: Notify::new(),
+        }
+    }
+
     /// Returns the value of the host header.
     pub(crate) fn host_header(&self) -> HeaderValue {
         HeaderValue::from_str(&self.addr.to_string())
             .unwrap_or_else(|_| HeaderValue::from_static("upstream"))
     }
 
-    /// Takes an idle connection or opens one.
-    pub(crate) async fn checkout(&self) -> Result<Connection, CheckoutError> {
-        let permit = Arc::clone(&self.permits)
-            .acquire_owned()
-            .await
-            .map_err(|_| CheckoutError::Refused)?;
-        let sender = match self.take_idle() {
-            Some(sender) => sender,
-            None => self.open().await.ok_or(CheckoutError::Refused)?,
-        };
-        Ok(Connection {
-            sender,
-            idle: Arc::clone(&self.idle),
-            _permit: permit,
-        })
-    }
-
-    fn take_idle(&self) -> Option<Sender> {
-        let mut idle = self.idle.lock();
-        while let Some(sender) = idle.pop() {
-            if !sender.is_closed() {
-                return Some(sender);
+    /// Takes a trusted idle connection or opens one.
+    pub(crate) async fn checkout(self: &Arc<Self>) -> Result<Connection, CheckoutError> {
+        loop {
+            let (decision, held) = {
+                let pool = &mut self.state.lock().pool;
+                (pool.checkout(Instant::now()), pool.held())
+            };
+            match decision {
+                Checkout::Reuse(lease) if lease.connection.is_closed() => self.on_closed(),
+                Checkout::Reuse(lease) => return Ok(self.lend(lease)),
+                Checkout::Open(replaced) => {
+                    drop(replaced);
+                    return self.open().await;
+                }
+                Checkout::Wait => self.freed.notified().await,
+                Checkout::BackOff(_) if held == 0 => return Err(CheckoutError::AtLimit),
+                Checkout::BackOff(until) => select! {
+                    () = self.freed.notified() => {}
+                    () = sleep_until(until.into()) => {}
+                },
             }
         }
-        None
     }
 
-    async fn open(&self) -> Option<Sender> {
+    /// Takes a connection that has just shown that it works.
+    ///
+    /// A call that may not be repeated gets no second chance, so its
+    /// connection is probed first unless a byte came on it lately.
+    pub(crate) async fn checkout_proven(self: &Arc<Self>) -> Result<Connection, CheckoutError> {
+        loop {
+            let mut connection = self.checkout().await?;
+            let age = Instant::now().saturating_duration_since(connection.last_byte);
+            if !connection.is_reused || age < PROVEN_FOR {
+                return Ok(connection);
+            }
+            let asked_at = Instant::now();
+            if connection.probe().await {
+                return Ok(connection);
+            }
+            self.on_suspicion(asked_at);
+        }
+    }
+
+    /// Returns the time after which a call on a reused connection is suspected.
+    pub(crate) fn suspicion_time(&self, time_left: Duration) -> Duration {
+        self.state.lock().first_byte.suspicion_time(time_left)
+    }
+
+    /// Takes the time to the first byte of a reply.
+    pub(crate) fn on_first_byte(&self, time: Duration) {
+        self.state.lock().first_byte.on_first_byte(time);
+    }
+
+    /// Returns whether a further connection fits the share.
+    pub(crate) fn has_room(&self) -> bool {
+        self.state.lock().pool.has_room()
+    }
+
+    /// Takes the suspicion that connections without a byte since `sent_at` have gone silent.
+    ///
+    /// They are probed, and those that answer come back into use.
+    pub(crate) fn on_suspicion(self: &Arc<Self>, sent_at: Instant) {
+        let suspected = {
+            let pool = &mut self.state.lock().pool;
+            pool.on_suspicion(sent_at);
+            pool.take_suspected()
+        };
+        for lease in suspected {
+            let mut connection = self.lend(lease);
+            spawn(async move {
+                if connection.probe().await {
+                    connection.give_back();
+                }
+            });
+        }
+    }
+
+    fn upkeep(self: &Arc<Self>) {
+        let (closed, wants_warm) = {
+            let pool = &mut self.state.lock().pool;
+            let mut closed = pool.take_idle_if(Sender::is_closed);
+            closed.extend(pool.take_expired(Instant::now()));
+            (closed, pool.wants_warm(Instant::now()))
+        };
+        drop(closed);
+        if wants_warm {
+            let pool = Arc::clone(self);
+            spawn(async move {
+                if let Ok(connection) = pool.open().await {
+                    connection.give_back();
+                }
+            });
+        }
+    }
+
+    fn lend(self: &Arc<Self>, lease: Lease<Sender>) -> Connection {
+        Connection {
+            is_reused: lease.is_reused,
+            last_byte: lease.last_byte,
+            sender: Some(lease.connection),
+            pool: Arc::clone(self),
+        }
+    }
+
+    fn on_closed(&self) {
+        self.state.lock().pool.on_closed();
+        self.freed.notify_one();
+    }
+
+    /// Opens a connection that the pool counts already.
+    async fn open(self: &Arc<Self>) -> Result<Connection, CheckoutError> {
+        let mut opening = Opening(Some(self));
+        let mut sender = timeout(CONNECT_TIMEOUT, self.connect())
+            .await
+            .ok()
+            .flatten()
+            .ok_or(CheckoutError::Unreachable)?;
+        let is_accepted = probe(&mut sender, self.host_header()).await;
+        opening.0 = None;
+        let now = Instant::now();
+        if !is_accepted {
+            let pool = &mut self.state.lock().pool;
+            pool.on_refused(rand::random(), now);
+            return Err(CheckoutError::AtLimit);
+        }
+        let lease = self.state.lock().pool.on_opened(sender, now);
+        Ok(self.lend(lease))
+    }
+
+    async fn connect(&self) -> Option<Sender> {
         let stream = TcpStream::connect(self.addr).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
@@ -101,9 +260,62 @@
     }
 }
 
+/// Asks for a byte and returns whether one came.
+async fn probe(sender: &mut Sender, host: HeaderValue) -> bool {
+    let asked = Request::get("/healthz")
+        .header(header::HOST, host)
+        .body(Full::default());
+    let Ok(request) = asked else { return false };
+    let exchange = async {
+        let response = sender.send_request(request).await.ok()?;
+        // What the health endpoint says is not trusted, only that it answers.
+        response.into_body().collect().await.ok()?;
+        sender.ready().await.ok()
+    };
+    matches!(timeout(PROBE_TIMEOUT, exchange).await, Ok(Some(())))
+}
+
 impl Connection {
+    /// Returns the sending half.
+    pub(crate) fn sender(&mut self) -> Option<&mut Sender> {
+        self.sender.as_mut()
+    }
+
     /// Gives the connection back once its reply has been read in full.
-    pub(crate) fn give_back(self) {
-        self.idle.lock().push(self.sender);
+    pub(crate) fn give_back(mut self) {
+        if let Some(sender) = self.sender.take() {
+            let closed = self
+                .pool
+                .state
+                .lock()
+                .pool
+                .give_back(sender, Instant::now());
+            drop(closed);
+            self.pool.freed.notify_one();
+        }
+    }
+
+    async fn probe(&mut self) -> bool {
+        let host = self.pool.host_header();
+        match self.sender.as_mut() {
+            Some(sender) => probe(sender, host).await,
+            None => false,
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.sender.take().is_some() {
+            self.pool.on_closed();
+        }
+    }
+}
+
+impl Drop for Opening<'_> {
+    fn drop(&mut self) {
+        if let Some(pool) = self.0 {
+            pool.on_closed();
+        }
     }
 }
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -1,7 +1,10 @@
 //! One query on its relay: feeds the plan with events and carries its actions out.
 
 use {
-    crate::{relay::leaf, shared::Shared},
+    crate::{
+        relay::{leaf, upkeep},
+        shared::Shared,
+    },
     fleet::{QueryAnswer, QueryCall},
     futures::{
         future::{AbortHandle, Abortable},
@@ -48,7 +51,8 @@
         service: &service.name,
         request_id: &call.request_id,
         query: &call.query,
-        connection_limit: service.connection_limit,
+        share: upkeep::share_of(shared, &service),
+        is_repeatable: route.repeatable,
     };
     let answer = run.drive(Gather::new(request_id, pin, limits)).await;
     Ok(QueryAnswer::new(
@@ -63,7 +67,8 @@
     service: &'a str,
     request_id: &'a str,
     query: &'a RawValue,
-    connection_limit: u32,
+    share: u32,
+    is_repeatable: bool,
 }
 
 /// Picks servers in the order of the record.
@@ -109,8 +114,8 @@
         self.shared.metrics.on_leaf_call(self.service, "first");
         let attempt_id = call.attempt_id;
         let wire = leaf::WireCall::new(self.request_id, &call, self.query);
-        let pool = self.shared.pools.get(call.server, self.connection_limit);
-        match leaf::call(&pool, &call, &wire).await {
+        let pool = self.shared.pools.get(call.server, self.share);
+        match leaf::call(&pool, &call, &wire, self.is_repeatable).await {
             Ok(reply) => Event::Replied(attempt_id, reply),
             Err(failure) => Event::Failed(attempt_id, failure),
         }
--- /dev/null
+++ b/crates/process/host/src/relay/upkeep.rs
@@ -0,0 +1,59 @@
+//! Upkeep of connections: shares, warm-up, idle ones, and servers that left all records.
+
+use {
+    crate::shared::Shared,
+    fleet::relay_set,
+    link::connection_share,
+    record::{ServerAddr, Service},
+    std::{collections::HashSet, sync::Arc, time::Duration},
+    tokio::{select, time::sleep},
+};
+
+/// Pause between two rounds of upkeep.
+const UPKEEP_PAUSE: Duration = Duration::from_secs(1);
+
+/// Keeps connections up for as long as the process lives.
+pub(crate) async fn keep_up(shared: Arc<Shared>) {
+    let mut config = shared.config.subscribe();
+    loop {
+        let in_use = servers_in_use(&shared);
+        shared.pools.upkeep(&in_use);
+        select! {
+            // The sender lives in `shared`, so the wait ends only by a change.
+            _ = config.changed() => {}
+            () = sleep(UPKEEP_PAUSE) => {}
+        }
+    }
+}
+
+/// Returns how many connections this host may hold to each server of a service.
+pub(crate) fn share_of(shared: &Shared, service: &Service) -> u32 {
+    connection_share(service.connection_limit, relay_count(shared, service))
+}
+
+fn relay_count(shared: &Shared, service: &Service) -> usize {
+    let members = shared.members.all().len();
+    let wanted = service.relays.map(|relays| relays as usize);
+    let count = wanted.or(shared.settings.default_relays).unwrap_or(members);
+    // A fresh host knows only itself, so the record's count is never lowered to that.
+    wanted.map_or(count.min(members), |wanted| wanted)
+}
+
+/// Returns the servers of all records, and makes the pools of those that this host relays for.
+fn servers_in_use(shared: &Shared) -> HashSet<ServerAddr> {
+    let members = shared.members.all();
+    let mut in_use = HashSet::new();
+    for service in shared.in_force().services() {
+        let relays = relay_set(&service.name, &members, relay_count(shared, service));
+        let is_relay = relays.iter().any(|m| m.id == shared.settings.member.id);
+        let share = share_of(shared, service);
+        let shards = service.indexes.iter().flat_map(|index| &index.shards);
+        for server in shards.flat_map(|shard| &shard.servers) {
+            in_use.insert(server.addr);
+            if is_relay {
+                shared.pools.get(server.addr, share);
+            }
+        }
+    }
+    in_use
+}
--- a/crates/process/host/src/run.rs
+++ b/crates/process/host/src/run.rs
@@ -6,7 +6,7 @@
         life::LifeWatch,
         members::{self, Members},
         peer::{self, Peers},
-        relay::pool::Pools,
+        relay::{self, pool::Pools},
         shared::Shared,
         Settings,
     },
@@ -67,6 +67,7 @@
         spawn(serve_http(admin, admin::router(Arc::clone(&shared)))),
         spawn(config::follow_head(Arc::clone(&shared))),
         spawn(members::follow_list(Arc::clone(&shared))),
+        spawn(relay::keep_up(Arc::clone(&shared))),
     ];
     Ok(RunningHost {
         entry_addr,
--- a/crates/test/fakes/src/process.rs
+++ b/crates/test/fakes/src/process.rs
@@ -334,6 +334,16 @@
         self.control(self.control_addr, &path, body).await
     }
 
+    /// Silences the connections that the upstreams hold now; later ones work.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the upstreams do not answer.
+    pub async fn silence_open_connections(&self) -> Result<()> {
+        self.control(self.control_addr, "/fake/silence", String::new())
+            .await
+    }
+
     /// Returns what the upstreams have seen.
     ///
     /// # Errors
--- a/crates/test/fakes/src/upstream.rs
+++ b/crates/test/fakes/src/upstream.rs
@@ -26,7 +26,7 @@
         io,
         net::SocketAddr,
         sync::{
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicU64, AtomicUsize, Ordering},
             Arc,
         },
         time::Duration,
@@ -137,6 +137,8 @@
     addr: SocketAddr,
     behaviour: Mutex<Behaviour>,
     silent_before: Mutex<HashSet<u64>>,
+    newest_connection: AtomicU64,
+    silent_up_to: AtomicU64,
     open_connections: AtomicUsize,
     waiting: AtomicUsize,
     slots: Semaphore,
@@ -190,6 +192,14 @@
         }
     }
 
+    /// Silences the connections that are open now; later ones work.
+    pub fn silence_open_connections(&self) {
+        for server in self.servers.values() {
+            let newest = server.newest_connection.load(Ordering::SeqCst);
+            server.silent_up_to.store(newest, Ordering::SeqCst);
+        }
+    }
+
     /// Serves the control path on `listener` until the process ends.
     ///
     /// # Errors
@@ -198,6 +208,7 @@
     pub async fn serve_control(self, listener: TcpListener) -> io::Result<()> {
         let router = Router::new()
             .route("/fake/seen", get(get_seen))
+            .route("/fake/silence", put(put_silence))
             .route("/fake/behaviour", put(put_behaviour))
             .route("/fake/behaviour/{addr}", put(put_one_behaviour))
             .with_state(self);
@@ -212,6 +223,8 @@
             slots: Semaphore::new(behaviour.slots),
             behaviour: Mutex::new(behaviour),
             silent_before: Mutex::default(),
+            newest_connection: AtomicU64::new(0),
+            silent_up_to: AtomicU64::new(0),
             open_connections: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             crashed: Mutex::new(false),
@@ -246,6 +259,7 @@
     let mut next_id = 0;
     while let Ok((stream, _)) = listener.accept().await {
         next_id += 1;
+        server.newest_connection.store(next_id, Ordering::SeqCst);
         let limit = server.behaviour.lock().connection_limit;
         let open = server.open_connections.load(Ordering::SeqCst);
         if *server.crashed.lock() || open >= limit {
@@ -292,6 +306,7 @@
             silent_before.insert(self.id);
         }
         silent_before.contains(&self.id)
+            || self.id <= self.server.silent_up_to.load(Ordering::SeqCst)
     }
 
     fn refuse(&self, status: StatusCode, kind: &str) -> Response {
@@ -412,6 +427,9 @@
 }
 
 async fn health(State(connection): State<Connection>) -> StatusCode {
+    if connection.is_silent() {
+        pending::<()>().await;
+    }
     let behaviour = connection.server.behaviour.lock();
     if behaviour.health_lies || !behaviour.is_draining {
         StatusCode::OK
@@ -421,6 +439,9 @@
 }
 
 async fn load(State(connection): State<Connection>) -> Json<Value> {
+    if connection.is_silent() {
+        pending::<()>().await;
+    }
     let slots = connection.server.behaviour.lock().slots;
     let in_use = slots.saturating_sub(connection.server.slots.available_permits());
     Json(json!({ "slots": slots, "in_use": in_use }))
@@ -430,6 +451,11 @@
     Json(all.seen())
 }
 
+async fn put_silence(State(all): State<FakeUpstreams>) -> StatusCode {
+    all.silence_open_connections();
+    StatusCode::NO_CONTENT
+}
+
 async fn put_behaviour(
     State(all): State<FakeUpstreams>,
     Json(behaviour): Json<Behaviour>,
