--- a/crates/connection/link/src/lib.rs
+++ b/crates/connection/link/src/lib.rs
@@ -7,13 +7,17 @@
 mod back_off;
 mod evidence;
 mod pool;
+mod server;
 mod share;
 mod silence;
+mod table;
 
 pub use crate::{
     back_off::BackOff,
     evidence::{Evidence, Refusal, Stated},
     pool::{Checkout, Lease, Pool, PoolConfig},
+    server::DrainSign,
     share::connection_share,
     silence::FirstByte,
+    table::{Chance, ServerTable},
 };
