--- a/crates/process/meter/src/lib.rs
+++ b/crates/process/meter/src/lib.rs
@@ -8,5 +8,5 @@
 
 pub use crate::{
     logs::{start_logs, LogFormat},
-    metrics::{Metrics, QueryLabels},
+    metrics::{LeafLabels, Metrics, QueryLabels},
 };
--- a/crates/process/meter/src/metrics.rs
+++ b/crates/process/meter/src/metrics.rs
@@ -29,6 +29,17 @@
     pub outcome: &'a str,
 }
 
+/// What a call to an upstream is counted under.
+#[derive(Clone, Copy, Debug)]
+pub struct LeafLabels<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Why the call was made.
+    pub cause: &'static str,
+    /// `ok`, or why there is no reply.
+    pub outcome: &'static str,
+}
+
 /// Instruments of a host.
 pub struct Metrics {
     registry: Registry,
@@ -36,6 +47,7 @@
     _provider: SdkMeterProvider,
     query_latency_ms: Histogram<f64>,
     leaf_calls: Counter<u64>,
+    leaf_latency_ms: Histogram<f64>,
     revision: Gauge<u64>,
     events: Counter<u64>,
 }
@@ -63,6 +75,11 @@
                 .u64_counter("wharf_leaf_calls")
                 .with_description("Calls to upstreams, by service and cause")
                 .build(),
+            leaf_latency_ms: meter
+                .f64_histogram("wharf_leaf_latency_ms")
+                .with_description("Latency of calls to upstreams, by service, cause and outcome")
+                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+                .build(),
             revision: meter
                 .u64_gauge("wharf_config_revision")
                 .with_description("Revision of the configuration in force on this host")
@@ -96,6 +113,17 @@
         self.leaf_calls.add(1, &labels);
     }
 
+    /// Counts the end of a call to an upstream with its latency.
+    pub fn on_leaf_end(&self, labels: LeafLabels<'_>, latency: Duration) {
+        let labels = [
+            KeyValue::new("service", labels.service.to_owned()),
+            KeyValue::new("cause", labels.cause),
+            KeyValue::new("outcome", labels.outcome),
+        ];
+        self.leaf_latency_ms
+            .record(latency.as_secs_f64() * 1_000.0, &labels);
+    }
+
     /// Records the revision in force.
     pub fn on_revision(&self, revision: u64) {
         self.revision.record(revision, &[]);
--- a/crates/request/plan/src/coverage.rs
+++ b/crates/request/plan/src/coverage.rs
@@ -29,6 +29,23 @@
     NotAwaited,
 }
 
+impl Reason {
+    /// Returns the name used on the wire and in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline",
+            Self::Unreachable => "unreachable",
+            Self::Shed => "shed",
+            Self::Lost => "lost",
+            Self::VersionGone => "version-gone",
+            Self::Mismatch => "mismatch",
+            Self::Draining => "draining",
+            Self::Quarantined => "quarantined",
+            Self::NotAwaited => "not-awaited",
+        }
+    }
+}
+
 /// A shard that is missing from an answer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MissingShard {
--- a/crates/request/plan/src/gather.rs
+++ b/crates/request/plan/src/gather.rs
@@ -1,174 +1,136 @@
 //! The life of one query: calls to every shard and the merge of their replies.
+//!
+//! A call that has ended is forgotten at once, so nothing that arrives for it
+//! later can reach the answer, whichever snapshot it came from.
 
 use {
-    crate::{AttemptId, CoverageReport, MissingShard, Pin, Reason, RequestId},
+    crate::{
+        group::Group,
+        restart::Versions,
+        work::{Attempt, ShardWork, State},
+        Action, Answer, AttemptId, Cause, Event, LeafCall, LeafFailure, LeafReply, Limits, Pin,
+        Reason, RequestId, Upstreams,
+    },
     kind::Ran,
-    record::{IndexVersion, ServerAddr, Shard, ShardId},
+    record::{Coverage, Hedge, ServerAddr, Service, WhenShort},
     std::{
-        collections::HashMap,
+        collections::BTreeMap,
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
 
 /// Most calls that one shard gets within one query.
-const MAX_ATTEMPTS_PER_SHARD: usize = 3;
-
-/// What bounds a query.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Time by which the query ends.
-    pub deadline: Instant,
-    /// Whether the request may be executed more than once.
-    pub is_repeatable: bool,
-}
-
-/// What a query needs to know about upstreams.
-pub trait Upstreams {
-    /// Picks a server of `shard` for the next call, leaving out those `tried` where possible.
-    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], now: Instant) -> Option<ServerAddr>;
-}
-
-/// One call to one server.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct LeafCall {
-    /// Identifier of the call.
-    pub attempt_id: AttemptId,
-    /// Shard to search.
-    pub shard: ShardId,
-    /// Server to call.
-    pub server: ServerAddr,
-    /// Index version to use.
-    pub index_version: IndexVersion,
-    /// Time that is left for the call.
-    pub time_left: Duration,
-}
-
-/// The reply of a server, with what it says about itself.
-#[derive(Clone, Debug)]
-pub struct LeafReply<R> {
-    /// Request that the server answered.
-    pub request_id: RequestId,
-    /// Call that the server answered.
-    pub attempt_id: AttemptId,
-    /// Shard that the server searched.
-    pub shard: ShardId,
-    /// Index version that the server used.
-    pub index_version: IndexVersion,
-    /// Rows found.
-    pub rows: R,
-}
-
-/// A call that brought no usable reply.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LeafFailure {
-    /// Why there is no reply.
-    pub reason: Reason,
-    /// Whether the server executed the call.
-    pub ran: Ran,
-    /// Newest index version that the server holds, if it said so.
-    pub newest_version: Option<IndexVersion>,
-}
-
-/// What happened to a query.
-#[derive(Clone, Debug)]
-pub enum Event<R> {
-    /// A reply arrived on the connection of a call.
-    Replied(AttemptId, LeafReply<R>),
-    /// A call failed.
-    Failed(AttemptId, LeafFailure),
-    /// Time has passed.
-    Wake,
-}
-
-/// What a query wants done.
-#[derive(Clone, Debug)]
-pub enum Action<R> {
-    /// Make a call.
-    Call(LeafCall),
-    /// Stop a call whose reply is not needed any more.
-    Cancel(AttemptId),
-    /// Answer the caller; nothing follows.
-    Finish(Answer<R>),
-}
-
-/// Rows of one shard.
-#[derive(Clone, Debug)]
-pub struct ShardRows<R> {
-    /// Number of the shard.
-    pub shard: ShardId,
-    /// Rows found.
-    pub rows: R,
-}
-
-/// The end of a query.
-#[derive(Clone, Debug)]
-pub struct Answer<R> {
-    /// Index version that every row comes from.
-    pub version: IndexVersion,
-    /// What the answer covers.
-    pub coverage: CoverageReport,
-    /// Rows, by rising shard number.
-    pub rows: Vec<ShardRows<R>>,
-    /// Whether the request was executed anywhere.
-    pub ran: Ran,
-}
-
-#[derive(Debug)]
-enum State<R> {
-    Waiting,
-    Covered(R),
-    Missing(Reason),
-}
-
-#[derive(Debug)]
-struct ShardWork<R> {
-    state: State<R>,
-    tried: Vec<ServerAddr>,
-    open: Vec<AttemptId>,
-}
+pub(crate) const MAX_ATTEMPTS_PER_SHARD: usize = 3;
+/// Time that a call spends on the way to a server and back.
+const HOP: Duration = Duration::from_millis(2);
 
 /// One query over every shard of its pin.
 #[derive(Debug)]
 pub struct Gather<R> {
     request_id: RequestId,
-    pin: Pin,
-    limits: Limits,
-    shards: Vec<ShardWork<R>>,
-    attempts: HashMap<AttemptId, usize>,
+    pub(crate) pin: Pin,
+    versions: Versions,
+    pub(crate) limits: Limits,
+    coverage: Coverage,
+    pub(crate) hedge: Hedge,
+    pub(crate) group: Arc<Group>,
+    pub(crate) capacity: usize,
+    early_at: Option<Instant>,
+    pub(crate) next_hedge: Option<Instant>,
+    pub(crate) works: Vec<ShardWork<R>>,
+    /// Number of shards that are neither covered nor missing.
+    waiting: usize,
+    /// Whether servers of a shard have said that the pinned version is gone.
+    is_version_gone: bool,
+    attempts: BTreeMap<AttemptId, Attempt>,
     next_attempt_id: AttemptId,
     ran: Ran,
     is_finished: bool,
 }
 
+/// One step of a query: what it may ask, when it happens and what follows.
+pub(crate) struct Step<'a, U, R> {
+    pub(crate) upstreams: &'a mut U,
+    pub(crate) now: Instant,
+    pub(crate) actions: Vec<Action<R>>,
+}
+
 impl<R> Gather<R> {
     /// Creates the query; [`Gather::start`] makes its first calls.
+    ///
+    /// Unless told otherwise it waits for every shard, does not hedge, and
+    /// shares nothing with other queries.
     pub fn new(request_id: RequestId, pin: Pin, limits: Limits) -> Self {
-        let shards = pin
-            .index()
-            .shards
-            .iter()
-            .map(|_| ShardWork::new())
-            .collect();
         Self {
             request_id,
-            pin,
+            versions: Versions::new(&pin),
             limits,
-            shards,
-            attempts: HashMap::new(),
+            coverage: Coverage {
+                min_share: 1.0,
+                when_short: WhenShort::Wait,
+            },
+            hedge: Hedge {
+                quantile: 0.0,
+                budget_share: 0.0,
+            },
+            group: Arc::default(),
+            capacity: pin.capacity(),
+            early_at: None,
+            next_hedge: None,
+            works: Vec::new(),
+            waiting: 0,
+            is_version_gone: false,
+            attempts: BTreeMap::new(),
             next_attempt_id: 1,
             ran: Ran::No,
             is_finished: false,
+            pin,
         }
     }
 
+    /// Sets what the route demands of coverage.
+    pub fn with_coverage(mut self, coverage: Coverage) -> Self {
+        self.coverage = coverage;
+        self
+    }
+
+    /// Sets how slow shards are hedged.
+    pub fn with_hedge(mut self, hedge: Hedge) -> Self {
+        self.hedge = hedge;
+        self
+    }
+
+    /// Sets what the query shares with other queries of the service.
+    pub fn with_group(mut self, group: Arc<Group>) -> Self {
+        self.group = group;
+        self
+    }
+
+    /// Takes the newest service record, which may list a version to restart on.
+    pub fn learn(&mut self, service: Arc<Service>) {
+        self.versions.learn(service);
+    }
+
     /// Calls one server of every shard.
     pub fn start<U: Upstreams>(&mut self, upstreams: &mut U, now: Instant) -> Vec<Action<R>> {
-        let mut actions = Vec::with_capacity(self.shards.len());
-        for position in 0..self.shards.len() {
-            self.call(position, Reason::Unreachable, upstreams, now, &mut actions);
+        let mut step = Step {
+            upstreams,
+            now,
+            actions: Vec::with_capacity(self.pin.index().shards.len()),
+        };
+        if let WhenShort::EarlyAfter(wait) = self.coverage.when_short {
+            self.early_at = Some(now + wait);
+        }
+        let calls = self.pin.index().shards.len();
+        self.group.on_first_calls(calls, self.hedge.budget_share);
+        if self.limits.time_left(now).is_zero() {
+            self.reset_works();
+        } else {
+            self.call_all(Cause::First, &mut step);
         }
-        self.finish_if_done(&mut actions);
-        actions
+        self.settle(&mut step);
+        step.actions
     }
 
     /// Takes an event and returns what follows from it.
@@ -178,196 +140,271 @@
         upstreams: &mut U,
         now: Instant,
     ) -> Vec<Action<R>> {
-        let mut actions = Vec::new();
+        let mut step = Step {
+            upstreams,
+            now,
+            actions: Vec::new(),
+        };
         if self.is_finished {
-            return actions;
+            return step.actions;
         }
         match event {
-            Event::Replied(attempt_id, reply) => {
-                self.on_reply(attempt_id, reply, upstreams, now, &mut actions);
-            }
-            Event::Failed(attempt_id, failure) => {
-                self.on_failure(attempt_id, failure, upstreams, now, &mut actions);
-            }
-            Event::Wake => {}
+            Event::Replied(attempt_id, reply) => self.on_reply(attempt_id, reply, &mut step),
+            Event::Failed(attempt_id, failure) => self.on_failure(attempt_id, failure, &mut step),
+            Event::Wake => self.hedge_slow_shards(&mut step),
         }
-        if now >= self.limits.deadline {
-            self.give_up(Reason::Deadline, &mut actions);
-        }
-        self.finish_if_done(&mut actions);
-        actions
+        self.settle(&mut step);
+        step.actions
     }
 
     /// Returns when the query next needs [`Event::Wake`].
     pub fn next_wake(&self) -> Option<Instant> {
-        (!self.is_finished).then_some(self.limits.deadline)
+        if self.is_finished {
+            return None;
+        }
+        let early_at = self.early_at.filter(|_| self.has_least_share());
+        [Some(self.limits.deadline), self.next_hedge, early_at]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    fn reset_works(&mut self) {
+        let shards = self.pin.index().shards.len();
+        self.works = (0..shards).map(|_| ShardWork::new()).collect();
+        self.waiting = shards;
+        self.is_version_gone = false;
+        self.next_hedge = None;
+    }
+
+    fn call_all<U: Upstreams>(&mut self, cause: Cause, step: &mut Step<'_, U, R>) {
+        self.reset_works();
+        for position in 0..self.works.len() {
+            match self.pick(position, step) {
+                Some(server) => self.call(position, server, cause, step),
+                None => {
+                    let shard = &self.pin.index().shards[position];
+                    let reason = step.upstreams.reason(shard, step.now);
+                    self.lose(position, reason);
+                }
+            }
+        }
+    }
+
+    /// Picks a server that was not tried and is not slow, as far as there is one.
+    pub(crate) fn pick<U: Upstreams>(
+        &self,
+        position: usize,
+        step: &mut Step<'_, U, R>,
+    ) -> Option<ServerAddr> {
+        let shard = &self.pin.index().shards[position];
+        let tried = &self.works[position].tried;
+        let slow = shard
+            .servers
+            .iter()
+            .map(|server| server.addr)
+            .filter(|addr| !tried.contains(addr) && self.group.is_left_out(*addr, step.now));
+        let mut avoided = tried.clone();
+        avoided.extend(slow);
+        let picked = step.upstreams.pick(shard, &avoided, step.now)?;
+        if avoided.len() > tried.len() && avoided.contains(&picked) {
+            return step.upstreams.pick(shard, tried, step.now);
+        }
+        Some(picked)
+    }
+
+    pub(crate) fn call<U: Upstreams>(
+        &mut self,
+        position: usize,
+        server: ServerAddr,
+        cause: Cause,
+        step: &mut Step<'_, U, R>,
+    ) {
+        let call = LeafCall {
+            attempt_id: self.next_attempt_id,
+            cause,
+            shard: self.pin.index().shards[position].id,
+            server,
+            index_version: self.pin.version(),
+            time_left: self.limits.time_left(step.now).saturating_sub(HOP),
+        };
+        self.next_attempt_id += 1;
+        let work = &mut self.works[position];
+        work.tried.push(server);
+        work.open.push(call.attempt_id);
+        let attempt = Attempt {
+            position,
+            call: call.clone(),
+            started_at: step.now,
+            _in_flight: self.group.enter(),
+        };
+        self.attempts.insert(call.attempt_id, attempt);
+        step.actions.push(Action::Call(call));
+        self.arm_hedge(position, step.now);
     }
 
     fn on_reply<U: Upstreams>(
         &mut self,
         attempt_id: AttemptId,
         reply: LeafReply<R>,
-        upstreams: &mut U,
-        now: Instant,
-        actions: &mut Vec<Action<R>>,
+        step: &mut Step<'_, U, R>,
     ) {
-        let Some(position) = self.attempts.get(&attempt_id).copied() else {
+        let Some(attempt) = self.attempts.get(&attempt_id) else {
             return;
         };
-        if !self.belongs(attempt_id, position, &reply) {
-            let failure = LeafFailure {
-                reason: Reason::Mismatch,
-                ran: Ran::Unknown,
-                newest_version: None,
-            };
-            self.on_failure(attempt_id, failure, upstreams, now, actions);
+        if !reply.answers(self.request_id, &attempt.call) {
+            let failure = crate::LeafFault::Mismatch.into();
+            self.on_failure(attempt_id, failure, step);
             return;
         }
+        let latency = attempt.elapsed(step.now);
+        self.group.on_reply(attempt.call.server, latency, step.now);
+        let position = attempt.position;
         self.attempts.remove(&attempt_id);
         self.ran = Ran::Yes;
-        let work = &mut self.shards[position];
+        self.waiting -= 1;
+        let work = &mut self.works[position];
         work.state = State::Covered(reply.rows);
         for open in std::mem::take(&mut work.open) {
-            if self.attempts.remove(&open).is_some() {
-                actions.push(Action::Cancel(open));
-            }
+            self.cancel_overtaken(open, step);
         }
     }
 
-    fn belongs(&self, attempt_id: AttemptId, position: usize, reply: &LeafReply<R>) -> bool {
-        reply.request_id == self.request_id
-            && reply.attempt_id == attempt_id
-            && reply.shard == self.pin.index().shards[position].id
-            && reply.index_version == self.pin.version()
+    fn cancel_overtaken<U: Upstreams>(&mut self, attempt_id: AttemptId, step: &mut Step<'_, U, R>) {
+        if let Some(loser) = self.attempts.remove(&attempt_id) {
+            if !loser.is_hedge() {
+                let age = loser.elapsed(step.now);
+                self.group.on_overtaken(loser.call.server, age, step.now);
+            }
+            step.actions.push(Action::Cancel(attempt_id));
+        }
     }
 
     fn on_failure<U: Upstreams>(
         &mut self,
         attempt_id: AttemptId,
         failure: LeafFailure,
-        upstreams: &mut U,
-        now: Instant,
-        actions: &mut Vec<Action<R>>,
+        step: &mut Step<'_, U, R>,
     ) {
-        let Some(position) = self.attempts.remove(&attempt_id) else {
+        let Some(attempt) = self.attempts.remove(&attempt_id) else {
             return;
         };
         if failure.ran != Ran::No {
             self.ran = self.ran.and(failure.ran);
         }
-        let work = &mut self.shards[position];
+        match failure.reason {
+            Reason::Shed => self.group.on_overload(step.now),
+            Reason::VersionGone => self.versions.on_stated(failure.newest_version),
+            _ => {}
+        }
+        let position = attempt.position;
+        let work = &mut self.works[position];
         work.open.retain(|open| *open != attempt_id);
         if !work.open.is_empty() {
             return;
         }
-        if self.may_retry(position, failure) {
-            self.call(position, failure.reason, upstreams, now, actions);
+        if let Some(server) = self.retry_server(position, failure, step) {
+            self.call(position, server, Cause::Retry, step);
         } else {
-            self.shards[position].state = State::Missing(failure.reason);
+            self.lose(position, failure.reason);
         }
     }
 
-    fn may_retry(&self, position: usize, failure: LeafFailure) -> bool {
+    fn retry_server<U: Upstreams>(
+        &self,
+        position: usize,
+        failure: LeafFailure,
+        step: &mut Step<'_, U, R>,
+    ) -> Option<ServerAddr> {
         let is_allowed = self.limits.is_repeatable || failure.ran == Ran::No;
-        is_allowed && self.shards[position].tried.len() < MAX_ATTEMPTS_PER_SHARD
+        let tried = self.works[position].tried.len();
+        let is_in_time = self.limits.time_left(step.now) > HOP;
+        let is_vain = failure.reason == Reason::Quarantined;
+        if !is_allowed || !is_in_time || is_vain || tried >= MAX_ATTEMPTS_PER_SHARD {
+            return None;
+        }
+        let server = self.pick(position, step)?;
+        if failure.reason == Reason::VersionGone {
+            // Another replica may still hold the version; the same server does not.
+            let is_new = !self.works[position].tried.contains(&server);
+            return is_new.then_some(server);
+        }
+        self.group.take_retry().then_some(server)
     }
 
-    fn call<U: Upstreams>(
-        &mut self,
-        position: usize,
-        reason: Reason,
-        upstreams: &mut U,
-        now: Instant,
-        actions: &mut Vec<Action<R>>,
-    ) {
-        let shard = &self.pin.index().shards[position];
-        let work = &mut self.shards[position];
-        let Some(server) = upstreams.pick(shard, &work.tried, now) else {
-            work.state = State::Missing(reason);
-            return;
-        };
-        let attempt_id = self.next_attempt_id;
-        self.next_attempt_id += 1;
-        work.tried.push(server);
-        work.open.push(attempt_id);
-        self.attempts.insert(attempt_id, position);
-        actions.push(Action::Call(LeafCall {
-            attempt_id,
-            shard: shard.id,
-            server,
-            index_version: self.pin.version(),
-            time_left: self.limits.deadline.saturating_duration_since(now),
-        }));
+    fn lose(&mut self, position: usize, reason: Reason) {
+        self.works[position].state = State::Missing(reason);
+        self.waiting -= 1;
+        self.is_version_gone |= reason == Reason::VersionGone;
     }
 
-    fn give_up(&mut self, reason: Reason, actions: &mut Vec<Action<R>>) {
-        for work in &mut self.shards {
-            if matches!(work.state, State::Waiting) {
-                work.state = State::Missing(reason);
-                work.open.clear();
+    /// Restarts, gives up or finishes, whichever the state calls for.
+    fn settle<U: Upstreams>(&mut self, step: &mut Step<'_, U, R>) {
+        if step.now >= self.limits.deadline {
+            self.give_up(Reason::Deadline, step);
+        } else {
+            self.restart_if_gone(step);
+            if self.is_early(step.now) {
+                self.give_up(Reason::NotAwaited, step);
             }
         }
-        for (attempt_id, _) in self.attempts.drain() {
-            self.ran = self.ran.and(Ran::Unknown);
-            actions.push(Action::Cancel(attempt_id));
+        if self.waiting == 0 {
+            self.is_finished = true;
+            let works = std::mem::take(&mut self.works);
+            let answer = Answer::build(&self.pin, works, self.ran);
+            step.actions.push(Action::Finish(answer));
         }
     }
 
-    fn finish_if_done(&mut self, actions: &mut Vec<Action<R>>) {
-        let is_done = !self
-            .shards
-            .iter()
-            .any(|w| matches!(w.state, State::Waiting));
-        if self.is_finished || !is_done {
+    fn restart_if_gone<U: Upstreams>(&mut self, step: &mut Step<'_, U, R>) {
+        if !self.may_restart(step.now) {
             return;
         }
-        self.is_finished = true;
-        actions.push(Action::Finish(self.answer()));
+        if let Some(pin) = self.versions.next(&self.pin) {
+            self.cancel_all(step);
+            self.capacity = pin.capacity();
+            self.pin = pin;
+            self.call_all(Cause::Restart, step);
+        }
     }
 
-    fn answer(&mut self) -> Answer<R> {
-        let mut coverage = CoverageReport::default();
-        let mut rows = Vec::new();
-        let works = std::mem::take(&mut self.shards);
-        for (shard, work) in self.pin.index().shards.iter().zip(works) {
-            match work.state {
-                State::Covered(found) => {
-                    coverage.covered.push(shard.id);
-                    rows.push(ShardRows {
-                        shard: shard.id,
-                        rows: found,
-                    });
-                }
-                State::Waiting => coverage.missing.push(missing(shard, Reason::NotAwaited)),
-                State::Missing(reason) => coverage.missing.push(missing(shard, reason)),
-            }
-        }
-        Answer {
-            version: self.pin.version(),
-            coverage,
-            rows,
-            ran: self.ran,
+    fn may_restart(&self, now: Instant) -> bool {
+        if !self.is_version_gone {
+            return false;
         }
+        // A call under way may run, so a non-repeatable request waits for its end.
+        let has_not_run = self.ran == Ran::No && self.attempts.is_empty();
+        let typical = self.group.quantile(0.5).unwrap_or_default();
+        (self.limits.is_repeatable || has_not_run) && self.limits.time_left(now) > typical.max(HOP)
     }
-}
 
-impl<R> ShardWork<R> {
-    fn new() -> Self {
-        Self {
-            state: State::Waiting,
-            tried: Vec::new(),
-            open: Vec::new(),
+    fn has_least_share(&self) -> bool {
+        let covered = self
+            .works
+            .iter()
+            .filter(|work| matches!(work.state, State::Covered(_)))
+            .count();
+        covered > 0 && covered as f64 / self.works.len() as f64 >= self.coverage.min_share
+    }
+
+    fn is_early(&self, now: Instant) -> bool {
+        self.waiting > 0 && self.early_at.is_some_and(|at| now >= at) && self.has_least_share()
+    }
+
+    fn give_up<U: Upstreams>(&mut self, reason: Reason, step: &mut Step<'_, U, R>) {
+        for work in &mut self.works {
+            if work.is_waiting() {
+                work.state = State::Missing(reason);
+            }
         }
+        self.waiting = 0;
+        self.cancel_all(step);
     }
-}
 
-fn missing(shard: &Shard, reason: Reason) -> MissingShard {
-    let mut zones: Vec<_> = shard.servers.iter().map(|s| s.zone.clone()).collect();
-    zones.sort();
-    zones.dedup();
-    MissingShard {
-        shard: shard.id,
-        reason,
-        zones,
+    fn cancel_all<U: Upstreams>(&mut self, step: &mut Step<'_, U, R>) {
+        for attempt_id in std::mem::take(&mut self.attempts).into_keys() {
+            self.ran = self.ran.and(Ran::Unknown);
+            step.actions.push(Action::Cancel(attempt_id));
+        }
     }
 }
--- /dev/null
+++ b/crates/request/plan/src/group.rs
@@ -0,0 +1,150 @@
+//! What the queries of one service share for the life of the process.
+//!
+//! Recent latency says when a call is slow, and budgets bound the extra calls
+//! that hedges and retries make. Every part stands under a lock of its own.
+
+use {
+    crate::{
+        budget::Budget,
+        speed::{Latency, Speeds},
+        window::Window,
+    },
+    parking_lot::Mutex,
+    record::ServerAddr,
+    std::{
+        collections::HashMap,
+        sync::{
+            atomic::{AtomicUsize, Ordering},
+            Arc,
+        },
+        time::{Duration, Instant},
+    },
+};
+
+/// Retries that a first call earns.
+const RETRY_SHARE: f64 = 0.08;
+/// Most retries saved up; as many are there from the start, so that the first
+/// failure of a few servers gets its retries.
+const MAX_RETRY_TOKENS: f64 = 20.0;
+/// Most hedges saved up.
+const MAX_HEDGE_TOKENS: f64 = 20.0;
+/// Time for which no hedge is made after a sign of overload.
+const OVERLOAD_PAUSE: Duration = Duration::from_secs(1);
+
+/// Groups of all services, by name.
+#[derive(Debug, Default)]
+pub struct Groups(Mutex<HashMap<String, Arc<Group>>>);
+
+impl Groups {
+    /// Returns the group of a service.
+    pub fn get(&self, service: &str) -> Arc<Group> {
+        let mut groups = self.0.lock();
+        if let Some(group) = groups.get(service) {
+            return Arc::clone(group);
+        }
+        let group = Arc::<Group>::default();
+        groups.insert(service.to_owned(), Arc::clone(&group));
+        group
+    }
+}
+
+/// Latency, load and budgets of the shards of one service.
+#[derive(Debug)]
+pub struct Group {
+    window: Mutex<Window>,
+    speeds: Speeds,
+    hedges: Mutex<Budget>,
+    retries: Mutex<Budget>,
+    in_flight: AtomicUsize,
+    overloaded_until: Mutex<Option<Instant>>,
+}
+
+impl Default for Group {
+    fn default() -> Self {
+        Self {
+            window: Mutex::default(),
+            speeds: Speeds::default(),
+            hedges: Mutex::new(Budget::new(0.0, MAX_HEDGE_TOKENS)),
+            retries: Mutex::new(Budget::new(MAX_RETRY_TOKENS, MAX_RETRY_TOKENS)),
+            in_flight: AtomicUsize::new(0),
+            overloaded_until: Mutex::default(),
+        }
+    }
+}
+
+/// Counts a call as under way until dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight(Arc<Group>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Group {
+    /// Earns budget for a number of first calls.
+    pub(crate) fn on_first_calls(&self, calls: usize, hedge_share: f64) {
+        self.hedges.lock().earn(calls, hedge_share);
+        self.retries.lock().earn(calls, RETRY_SHARE);
+    }
+
+    /// Counts a call as under way.
+    pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(Arc::clone(self))
+    }
+
+    /// Takes the latency of a call that brought its reply.
+    pub(crate) fn on_reply(&self, server: ServerAddr, latency: Duration, now: Instant) {
+        self.on_latency(server, Latency::Exact(latency), latency, now);
+    }
+
+    /// Takes the age of a call that was cancelled because another was faster.
+    pub(crate) fn on_overtaken(&self, server: ServerAddr, age: Duration, now: Instant) {
+        self.on_latency(server, Latency::AtLeast(age), age, now);
+    }
+
+    fn on_latency(&self, server: ServerAddr, latency: Latency, seen: Duration, now: Instant) {
+        let median = self.quantile(0.5);
+        if !self.speeds.on_latency(server, latency, median, now) {
+            self.window.lock().push(seen);
+        }
+    }
+
+    /// Takes a sign that the servers have more work than they can do.
+    pub(crate) fn on_overload(&self, now: Instant) {
+        *self.overloaded_until.lock() = Some(now + OVERLOAD_PAUSE);
+    }
+
+    /// Returns a quantile of recent latency, once enough is known.
+    pub fn quantile(&self, quantile: f64) -> Option<Duration> {
+        self.window.lock().quantile(quantile)
+    }
+
+    /// Returns whether a server is much slower than its group and to be left out.
+    pub(crate) fn is_left_out(&self, server: ServerAddr, now: Instant) -> bool {
+        self.speeds.is_left_out(server, now)
+    }
+
+    /// Notes overload if calls under way exceed `capacity`, and returns whether there is any.
+    pub(crate) fn is_overloaded(&self, capacity: usize, now: Instant) -> bool {
+        if self.in_flight.load(Ordering::Relaxed) > capacity {
+            self.on_overload(now);
+            return true;
+        }
+        self.overloaded_until
+            .lock()
+            .is_some_and(|until| now < until)
+    }
+
+    /// Spends the budget of one hedge, if there is any.
+    pub(crate) fn take_hedge(&self) -> bool {
+        self.hedges.lock().take()
+    }
+
+    /// Spends the budget of one retry, if there is any.
+    pub(crate) fn take_retry(&self) -> bool {
+        self.retries.lock().take()
+    }
+}
--- a/crates/request/plan/src/pin.rs
+++ b/crates/request/plan/src/pin.rs
@@ -21,9 +21,21 @@
     ///
     /// Returns `None` if the service has no index, which a checked record never shows.
     pub fn newest(service: &Arc<Service>) -> Option<Self> {
-        (!service.indexes.is_empty()).then(|| Self {
+        Self::newest_where(service, |_| true)
+    }
+
+    /// Pins the newest index of `service` whose version passes `is_wanted`.
+    pub(crate) fn newest_where(
+        service: &Arc<Service>,
+        is_wanted: impl Fn(IndexVersion) -> bool,
+    ) -> Option<Self> {
+        let position = service
+            .indexes
+            .iter()
+            .position(|index| is_wanted(index.version))?;
+        Some(Self {
             service: Arc::clone(service),
-            position: 0,
+            position,
         })
     }
 
@@ -36,4 +48,17 @@
     pub fn version(&self) -> IndexVersion {
         self.index().version
     }
+
+    /// Returns the record that the index stands in.
+    pub(crate) fn service(&self) -> &Arc<Service> {
+        &self.service
+    }
+
+    /// Returns the number of calls that the servers of the index execute at
+    /// once for one relay.
+    pub(crate) fn capacity(&self) -> usize {
+        let servers: usize = self.index().shards.iter().map(|s| s.servers.len()).sum();
+        let relays = self.service.relays.unwrap_or(1).max(1) as usize;
+        (servers * self.service.slots as usize / relays).max(1)
+    }
 }
--- /dev/null
+++ b/crates/request/plan/tests/gather.rs
@@ -0,0 +1,342 @@
+//! One query: snapshot, restart, coverage, correlation and retries.
+
+mod common;
+
+use {
+    common::*,
+    kind::Ran,
+    plan::{Cause, Event, Group, LeafCall, Reason},
+    record::{Coverage, Hedge, WhenShort},
+    std::{sync::Arc, time::Instant},
+};
+
+const HEDGE: Hedge = Hedge {
+    quantile: 0.95,
+    budget_share: 0.5,
+};
+
+#[test]
+fn all_shards_answer_from_one_snapshot() {
+    let start = Instant::now();
+    let mut gather = gather(&service(1, &[(1, 4), (2, 3)]), start, true);
+    let calls = calls(&gather.start(&mut InOrder, start));
+    assert_eq!(calls.len(), 3, "the newest index has three shards");
+    let mut answer = None;
+    for call in &calls {
+        assert_eq!((call.cause, call.index_version), (Cause::First, 2));
+        assert!(call.time_left < ms(1_000), "the hop's time is taken off");
+        answer = finished(gather.on_event(replied(call), &mut InOrder, start + ms(5)));
+    }
+    let answer = answer.unwrap();
+    assert_eq!(answer.version, 2);
+    assert_eq!(answer.coverage.covered, [0, 1, 2]);
+    assert!(answer.coverage.is_complete());
+    assert_eq!(answer.ran, Ran::Yes);
+    assert_eq!(gather.next_wake(), None);
+}
+
+#[test]
+fn a_gone_version_is_asked_of_the_other_replica_first() {
+    let start = Instant::now();
+    let mut gather = gather(&service(1, &[(1, 1), (2, 1)]), start, true);
+    let first = calls(&gather.start(&mut InOrder, start));
+    let second = calls(&gather.on_event(gone(&first[0], 1), &mut InOrder, start));
+    assert_eq!(second[0].cause, Cause::Retry);
+    assert_eq!(second[0].index_version, 2);
+    assert_ne!(second[0].server, first[0].server);
+    let answer = finished(gather.on_event(replied(&second[0]), &mut InOrder, start)).unwrap();
+    assert_eq!((answer.version, answer.coverage.is_complete()), (2, true));
+}
+
+/// Tells a query that both servers of the call's shard no longer hold its version.
+fn lose_version(
+    gather: &mut plan::Gather<Rows>,
+    call: &LeafCall,
+    newest: u64,
+    now: Instant,
+) -> Vec<plan::Action<Rows>> {
+    let retry = calls(&gather.on_event(gone(call, newest), &mut InOrder, now));
+    assert_eq!(retry.len(), 1);
+    gather.on_event(gone(&retry[0], newest), &mut InOrder, now)
+}
+
+#[test]
+fn a_gone_version_restarts_on_the_other_partition_map_and_late_replies_are_dropped() {
+    let start = Instant::now();
+    let mut gather = gather(&service(1, &[(1, 4)]), start, true);
+    let first = calls(&gather.start(&mut InOrder, start));
+    gather.on_event(replied(&first[0]), &mut InOrder, start);
+    // The record lags, the newest one in force lists a repartitioned index.
+    gather.learn(service(2, &[(2, 2), (3, 6)]));
+    let actions = lose_version(&mut gather, &first[1], 2, start);
+    let second = calls(&actions);
+    assert_eq!(second.len(), 2, "the servers hold version 2, not 3");
+    assert!(second
+        .iter()
+        .all(|c| c.cause == Cause::Restart && c.index_version == 2));
+    assert_eq!(
+        cancelled(&actions),
+        [first[2].attempt_id, first[3].attempt_id]
+    );
+    for late in &first {
+        let actions = gather.on_event(replied(late), &mut InOrder, start);
+        assert!(actions.is_empty(), "a reply of the former pin: {actions:?}");
+    }
+    gather.on_event(replied(&second[0]), &mut InOrder, start);
+    let answer = finished(gather.on_event(replied(&second[1]), &mut InOrder, start)).unwrap();
+    assert_eq!(answer.version, 2);
+    assert_eq!(answer.coverage.covered, [0, 1]);
+    assert!(answer.rows.iter().all(|rows| rows.rows.1 == 2));
+}
+
+#[test]
+fn a_gone_version_without_a_newer_one_is_named_missing_with_zones() {
+    let start = Instant::now();
+    let mut gather = gather(&service(1, &[(1, 2)]), start, true);
+    let first = calls(&gather.start(&mut InOrder, start));
+    assert!(finished(lose_version(&mut gather, &first[1], 2, start)).is_none());
+    let answer = finished(gather.on_event(replied(&first[0]), &mut InOrder, start)).unwrap();
+    assert_eq!(answer.coverage.covered, [0]);
+    let missing = &answer.coverage.missing[0];
+    assert_eq!((missing.shard, missing.reason), (1, Reason::VersionGone));
+    assert_eq!(missing.zones, ["zone-0", "zone-1"]);
+}
+
+#[test]
+fn a_pin_that_servers_have_not_got_yet_falls_back_to_what_they_hold() {
+    let start = Instant::now();
+    let mut gather = gather(&service(1, &[(1, 2), (2, 2)]), start, true);
+    let first = calls(&gather.start(&mut InOrder, start));
+    let second = calls(&lose_version(&mut gather, &first[0], 1, start));
+    assert!(second.iter().all(|call| call.index_version == 1));
+    // No version is pinned twice.
+    let third = lose_version(&mut gather, &second[0], 2, start);
+    assert!(calls(&third).is_empty());
+}
+
+#[test]
+fn no_restart_once_the_deadline_is_too_near() {
+    let start = Instant::now();
+    let mut gather = gather(&service(1, &[(1, 1)]), start, true);
+    let first = calls(&gather.start(&mut InOrder, start));
+    gather.learn(service(2, &[(2, 1)]));
+    let now = start + ms(999);
+    let answer = finished(gather.on_event(gone(&first[0], 2), &mut InOrder, now)).unwrap();
+    assert_eq!(answer.coverage.missing[0].reason, Reason::VersionGone);
+}
+
+#[test]
+fn a_non_repeatable_request_restarts_only_if_nothing_ran() {
+    let start = Instant::now();
+    struct Case {
+        what: &'static str,
+        other: fn(&LeafCall) -> Event<Rows>,
+        is_restarted: bool,
+    }
+    let cases = [
+        Case {
+            what: "the other shard ran",
+            other: replied,
+            is_restarted: false,
+        },
+        Case {
+            what: "the other shard may have run",
+            other: |call| failed(call, Reason::Lost, Ran::Unknown),
+            is_restarted: false,
+        },
+        Case {
+            what: "the other shard refused too",
+            other: |call| gone(call, 2),
+            is_restarted: true,
+        },
+    ];
+    for case in cases {
+        let mut gather = gather(&service(1, &[(1, 2)]), start, false);
+        let first = calls(&gather.start(&mut InOrder, start));
+        gather.learn(service(2, &[(2, 2)]));
+        let actions = lose_version(&mut gather, &first[0], 2, start);
+        assert!(calls(&actions).is_empty(), "{}: a call is open", case.what);
+        let mut actions = gather.on_event((case.other)(&first[1]), &mut InOrder, start);
+        if let [retry] = calls(&actions).as_slice() {
+            if retry.cause == Cause::Retry {
+                actions = gather.on_event((case.other)(retry), &mut InOrder, start);
+            }
+        }
+        let restarts = calls(&actions);
+        let is_restarted = restarts.iter().any(|call| call.cause == Cause::Restart);
+        assert_eq!(is_restarted, case.is_restarted, "{}", case.what);
+    }
+}
+
+#[test]
+fn a_non_repeatable_request_is_repeated_only_if_it_did_not_run() {
+    let start = Instant::now();
+    let cases = [
+        (Reason::Lost, Ran::Unknown, 0),
+        (Reason::Lost, Ran::Yes, 0),
+        (Reason::Mismatch, Ran::Unknown, 0),
+        (Reason::Shed, Ran::No, 1),
+        (Reason::Unreachable, Ran::No, 1),
+        (Reason::Quarantined, Ran::No, 0),
+    ];
+    for (reason, ran, retries) in cases {
+        let mut gather = gather(&service(1, &[(1, 1)]), start, false);
+        let first = calls(&gather.start(&mut InOrder, start));
+        let actions = gather.on_event(failed(&first[0], reason, ran), &mut InOrder, start);
+        assert_eq!(calls(&actions).len(), retries, "{reason:?} {ran:?}");
+    }
+}
+
+#[test]
+fn a_reply_with_any_foreign_id_counts_as_lost() {
+    let start = Instant::now();
+    let changes: [fn(&mut plan::LeafReply<Rows>); 4] = [
+        |reply| reply.request_id += 1,
+        |reply| reply.attempt_id += 1,
+        |reply| reply.shard += 1,
+        |reply| reply.index_version += 1,
+    ];
+    for (i, change) in changes.iter().enumerate() {
+        let mut gather = gather(&service(1, &[(1, 1)]), start, false);
+        let first = calls(&gather.start(&mut InOrder, start));
+        let mut crossed = reply(&first[0]);
+        change(&mut crossed);
+        let event = Event::Replied(first[0].attempt_id, crossed);
+        let answer = finished(gather.on_event(event, &mut InOrder, start)).unwrap();
+        assert_eq!(answer.coverage.missing[0].reason, Reason::Mismatch, "{i}");
+        assert_eq!((answer.ran, answer.rows.len()), (Ran::Unknown, 0), "{i}");
+    }
+}
+
+#[test]
+fn an_early_answer_needs_the_least_share_and_the_time() {
+    let start = Instant::now();
+    let demand = Coverage {
+        min_share: 0.5,
+        when_short: WhenShort::EarlyAfter(ms(50)),
+    };
+    let mut gather = gather(&service(1, &[(1, 4)]), start, true).with_coverage(demand);
+    let first = calls(&gather.start(&mut InOrder, start));
+    gather.on_event(replied(&first[0]), &mut InOrder, start + ms(5));
+    let actions = gather.on_event(Event::Wake, &mut InOrder, start + ms(60));
+    assert!(actions.is_empty(), "only a quarter is covered");
+    assert_eq!(gather.next_wake(), Some(start + ms(1_000)));
+    let actions = gather.on_event(replied(&first[1]), &mut InOrder, start + ms(70));
+    assert_eq!(cancelled(&actions).len(), 2);
+    let answer = finished(actions).unwrap();
+    assert_eq!(answer.coverage.covered, [0, 1]);
+    let reasons: Vec<_> = answer.coverage.missing.iter().map(|m| m.reason).collect();
+    assert_eq!(reasons, [Reason::NotAwaited; 2]);
+}
+
+#[test]
+fn an_early_answer_wakes_at_its_time_and_a_waiting_route_at_the_deadline() {
+    let start = Instant::now();
+    for (when_short, wake_ms) in [
+        (WhenShort::EarlyAfter(ms(50)), 50),
+        (WhenShort::Wait, 1_000),
+    ] {
+        let demand = Coverage {
+            min_share: 0.5,
+            when_short,
+        };
+        let mut gather = gather(&service(1, &[(1, 2)]), start, true).with_coverage(demand);
+        let first = calls(&gather.start(&mut InOrder, start));
+        gather.on_event(replied(&first[0]), &mut InOrder, start + ms(5));
+        assert_eq!(gather.next_wake(), Some(start + ms(wake_ms)));
+        let now = start + ms(wake_ms);
+        let answer = finished(gather.on_event(Event::Wake, &mut InOrder, now)).unwrap();
+        assert_eq!(answer.coverage.missing.len(), 1);
+    }
+}
+
+#[test]
+fn a_query_without_time_calls_nobody() {
+    let start = Instant::now();
+    let mut gather = gather(&service(1, &[(1, 2)]), start, true);
+    let actions = gather.start(&mut InOrder, start + ms(1_000));
+    assert!(calls(&actions).is_empty());
+    assert_eq!(finished(actions).unwrap().ran, Ran::No);
+}
+
+/// Returns a group that knows replies of 10 ms.
+fn trained_group(start: Instant) -> Arc<Group> {
+    let group = Arc::<Group>::default();
+    for _ in 0..8 {
+        let mut gather = gather(&service(1, &[(1, 20)]), start, true)
+            .with_group(Arc::clone(&group))
+            .with_hedge(HEDGE);
+        for call in calls(&gather.start(&mut InOrder, start)) {
+            gather.on_event(replied(&call), &mut InOrder, start + ms(10));
+        }
+    }
+    group
+}
+
+#[test]
+fn a_slow_shard_is_hedged_once_and_the_loser_is_cancelled() {
+    let start = Instant::now();
+    let group = trained_group(start);
+    let mut gather = gather(&service(1, &[(1, 2)]), start, true)
+        .with_group(group)
+        .with_hedge(HEDGE);
+    let first = calls(&gather.start(&mut InOrder, start));
+    gather.on_event(replied(&first[0]), &mut InOrder, start + ms(4));
+    let hedge_at = gather.next_wake().unwrap();
+    assert_eq!(hedge_at, start + ms(10));
+    let hedges = calls(&gather.on_event(Event::Wake, &mut InOrder, hedge_at));
+    assert_eq!(hedges.len(), 1);
+    assert_eq!((hedges[0].cause, hedges[0].shard), (Cause::Hedge, 1));
+    assert_ne!(hedges[0].server, first[1].server);
+    let actions = gather.on_event(replied(&hedges[0]), &mut InOrder, hedge_at + ms(2));
+    assert_eq!(cancelled(&actions), [first[1].attempt_id]);
+    assert!(finished(actions).unwrap().coverage.is_complete());
+}
+
+#[test]
+fn no_hedge_when_it_is_forbidden() {
+    let start = Instant::now();
+    struct Case {
+        what: &'static str,
+        is_repeatable: bool,
+        hedge: Hedge,
+        is_shedding: bool,
+    }
+    let cases = [
+        Case {
+            what: "non-repeatable",
+            is_repeatable: false,
+            hedge: HEDGE,
+            is_shedding: false,
+        },
+        Case {
+            what: "off in the record",
+            is_repeatable: true,
+            hedge: Hedge {
+                quantile: 0.0,
+                ..HEDGE
+            },
+            is_shedding: false,
+        },
+        Case {
+            what: "a server sheds",
+            is_repeatable: true,
+            hedge: HEDGE,
+            is_shedding: true,
+        },
+    ];
+    for case in cases {
+        let mut gather = gather(&service(1, &[(1, 2)]), start, case.is_repeatable)
+            .with_group(trained_group(start))
+            .with_hedge(case.hedge);
+        let first = calls(&gather.start(&mut InOrder, start));
+        if case.is_shedding {
+            let shed = failed(&first[0], Reason::Shed, Ran::No);
+            gather.on_event(shed, &mut InOrder, start);
+        }
+        for wait_ms in [10, 20, 40] {
+            let actions = gather.on_event(Event::Wake, &mut InOrder, start + ms(wait_ms));
+            assert!(actions.is_empty(), "{}: {actions:?}", case.what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/request/plan/tests/verdict.rs
@@ -0,0 +1,90 @@
+//! The kind of an answer that is not good enough, and what a failed call proves.
+
+use {
+    kind::{Kind, Ran},
+    plan::{verdict, CoverageReport, LeafFailure, LeafFault, MissingShard, Reason, Refusal},
+    record::{Coverage, WhenShort},
+};
+
+const DEMAND: Coverage = Coverage {
+    min_share: 0.75,
+    when_short: WhenShort::Wait,
+};
+
+fn report(covered: u32, missing: &[Reason]) -> CoverageReport {
+    CoverageReport {
+        covered: (0..covered).collect(),
+        missing: (covered..)
+            .zip(missing)
+            .map(|(shard, reason)| MissingShard {
+                shard,
+                reason: *reason,
+                zones: vec!["zone-0".to_owned()],
+            })
+            .collect(),
+    }
+}
+
+#[test]
+fn the_kind_comes_from_what_happened() {
+    use Reason::*;
+    let cases = [
+        (0, vec![Unreachable; 2], Ran::No, Kind::Unreachable),
+        (0, vec![Shed, Draining], Ran::No, Kind::Shed),
+        (0, vec![Deadline; 2], Ran::Unknown, Kind::DeadlineExceeded),
+        (0, vec![Lost, Mismatch], Ran::Unknown, Kind::UpstreamLost),
+        (0, vec![Quarantined; 2], Ran::No, Kind::Quarantined),
+        (0, vec![VersionGone; 2], Ran::No, Kind::LowCoverage),
+        (0, vec![Unreachable, Shed], Ran::No, Kind::LowCoverage),
+        (1, vec![Unreachable; 3], Ran::Yes, Kind::LowCoverage),
+        (2, vec![Deadline; 2], Ran::Yes, Kind::LowCoverage),
+    ];
+    for (covered, missing, ran, kind) in cases {
+        let error = verdict(&report(covered, &missing), ran, &DEMAND).unwrap_err();
+        assert_eq!((error.kind(), error.ran()), (kind, ran), "{missing:?}");
+    }
+}
+
+#[test]
+fn an_answer_with_the_least_share_is_good() {
+    for (covered, missing) in [(4, vec![]), (3, vec![Reason::Lost])] {
+        assert!(verdict(&report(covered, &missing), Ran::Yes, &DEMAND).is_ok());
+    }
+    let nothing = Coverage {
+        min_share: 0.0,
+        ..DEMAND
+    };
+    let none = report(0, &[Reason::Unreachable]);
+    assert!(
+        verdict(&none, Ran::No, &nothing).is_err(),
+        "nothing answered"
+    );
+}
+
+#[test]
+fn no_is_said_only_with_proof() {
+    let refused = |ran, is_own| {
+        LeafFault::Refused(Refusal {
+            reason: Reason::Shed,
+            ran,
+            is_own,
+            newest_version: None,
+        })
+    };
+    let cases = [
+        (LeafFault::NoConnection, Ran::No, false),
+        (LeafFault::NotWritten, Ran::No, false),
+        (LeafFault::LostAfterWrite, Ran::Unknown, false),
+        (LeafFault::LostInReply, Ran::Unknown, false),
+        (LeafFault::Malformed, Ran::Unknown, false),
+        (LeafFault::Mismatch, Ran::Unknown, false),
+        (refused(Ran::No, true), Ran::No, true),
+        (refused(Ran::Unknown, true), Ran::Unknown, true),
+        (refused(Ran::Yes, true), Ran::Yes, true),
+        (refused(Ran::No, false), Ran::Unknown, false),
+    ];
+    for (fault, ran, keeps_connection) in cases {
+        assert_eq!(LeafFailure::from(fault).ran, ran, "{fault:?}");
+        assert_eq!(fault.keeps_connection(), keeps_connection, "{fault:?}");
+    }
+}
