Drive the whole plan from the relay and check ids before a connection is reused

Cause: the relay gave a connection back before it had compared the ids of the reply, took `ran: no` from any refusal, counted every call as "first", and the entry answered every shortfall as low coverage.

Change: leaf.rs names the point of failure and plan decides what it proves; only a reply or refusal with the ids of the call gives the connection back. The stand-in upstream echoes the ids in refusals. The relay shows a query the newest record once its version is gone, shares latency and budgets between queries, and counts leaf calls by cause with a latency histogram. The entry takes the kind of an error from plan::verdict.

Ruled out: a timeout in leaf.rs beside the plan's deadline; the plan cancels at the deadline and is the only place that decides.

--- a/crates/process/host/src/entry/query.rs
+++ b/crates/process/host/src/entry/query.rs
@@ -17,7 +17,7 @@
     fleet::{relay_set, Member, Phase, QueryAnswer, QueryCall, PROTOCOL_VERSION},
     kind::{Error, Kind, Ran, Result},
     meter::QueryLabels,
-    plan::RequestId,
+    plan::{verdict, RequestId},
     record::Route,
     serde_json::value::RawValue,
     std::{
@@ -126,9 +126,7 @@
         query,
     };
     let answer = send_to_relay(shared, &route, call, deadline).await?;
-    if answer.coverage.share() < route.coverage.min_share {
-        return Err(low_coverage(&answer));
-    }
+    verdict(&answer.coverage, answer.ran, &route.coverage)?;
     let is_complete = answer.coverage.is_complete();
     Ok((Envelope::new(&route, answer), is_complete))
 }
@@ -155,20 +153,6 @@
         .map_err(|e| Error::new(Kind::BadBody, format!("the body is not JSON: {e}")))
 }
 
-fn low_coverage(answer: &QueryAnswer) -> Error {
-    let lacking: Vec<_> = answer
-        .coverage
-        .missing
-        .iter()
-        .map(|m| format!("{} ({:?})", m.shard, m.reason))
-        .collect();
-    Error::new(
-        Kind::LowCoverage,
-        format!("missing shards: {}", lacking.join(", ")),
-    )
-    .with_ran(answer.ran)
-}
-
 /// Runs the query here if this host is a relay of the service, else on a relay.
 async fn send_to_relay(
     shared: &Arc<Shared>,
@@ -199,10 +183,10 @@
         match answer {
             Ok(answer) if answer.request_id == call.request_id => return Ok(answer),
             Ok(_) => {
-                return Err(Error::new(
-                    Kind::Internal,
-                    "the relay answered another request",
-                ))
+                last_error = Error::new(Kind::HostLost, "the relay answered another request");
+                if !route.repeatable {
+                    return Err(last_error);
+                }
             }
             Err(error) if may_try_next(route, &error) => last_error = error,
             Err(error) => return Err(error),
--- a/crates/process/host/src/relay/leaf.rs
+++ b/crates/process/host/src/relay/leaf.rs
@@ -6,13 +6,15 @@
     http::{header, HeaderValue, Method, Request, StatusCode},
     http_body_util::{BodyExt, Full},
     kind::Ran,
-    plan::{AttemptId, LeafCall, LeafFailure, LeafReply, Reason, RequestId},
+    plan::{AttemptId, LeafCall, LeafFault, LeafReply, Reason, Refusal, RequestId},
     record::{IndexVersion, ShardId},
     serde::{Deserialize, Serialize},
     serde_json::value::RawValue,
-    tokio::time::timeout,
 };
 
+/// The reply of a server to one call.
+pub(crate) type Reply = LeafReply<Box<RawValue>>;
+
 /// A call as upstreams read it.
 #[derive(Serialize)]
 pub(crate) struct WireCall<'a> {
@@ -34,6 +36,8 @@
 
 #[derive(Deserialize)]
 struct WireRefusal {
+    request_id: Option<String>,
+    attempt_id: Option<AttemptId>,
     kind: String,
     ran: Ran,
     newest_version: Option<IndexVersion>,
@@ -53,42 +57,44 @@
 
 /// Calls a server and reads its reply.
 ///
+/// The connection goes back to its pool only after a reply or a refusal that
+/// carries the ids of the call; any other end closes it.
+///
 /// # Errors
 ///
-/// Returns why there is no reply and whether the server executed the call.
+/// Returns the point at which the call failed.
 pub(crate) async fn call(
     pool: &Pool,
+    request_id: RequestId,
     call: &LeafCall,
     wire: &WireCall<'_>,
-) -> Result<LeafReply<Box<RawValue>>, LeafFailure> {
-    let request = build_request(pool, call, wire).ok_or(failure(Reason::Lost, Ran::No))?;
-    let exchange = async {
-        let mut connection = pool.checkout().await.map_err(|error| match error {
-            CheckoutError::Refused => failure(Reason::Unreachable, Ran::No),
-        })?;
-        let sent = connection.sender.try_send_request(request).await;
-        let response = sent.map_err(|mut error| {
-            // A request that comes back was never written.
-            let ran = if error.take_message().is_some() {
-                Ran::No
-            } else {
-                Ran::Unknown
-            };
-            failure(Reason::Lost, ran)
-        })?;
-        let status = response.status();
-        let body = response
-            .into_body()
-            .collect()
-            .await
-            .map_err(|_| failure(Reason::Lost, Ran::Unknown))?
-            .to_bytes();
-        connection.give_back();
-        read_reply(status, &body)
-    };
-    timeout(call.time_left, exchange)
+) -> Result<Reply, LeafFault> {
+    let request = build_request(pool, call, wire).ok_or(LeafFault::NotWritten)?;
+    let mut connection = pool.checkout().await.map_err(|error| match error {
+        CheckoutError::Refused => LeafFault::NoConnection,
+    })?;
+    let sent = connection.sender.try_send_request(request).await;
+    let response = sent.map_err(|mut error| match error.take_message() {
+        // A request that comes back was never written.
+        Some(_) => LeafFault::NotWritten,
+        None => LeafFault::LostAfterWrite,
+    })?;
+    let status = response.status();
+    let body = response
+        .into_body()
+        .collect()
         .await
-        .unwrap_or(Err(failure(Reason::Deadline, Ran::Unknown)))
+        .map_err(|_| LeafFault::LostInReply)?
+        .to_bytes();
+    let result = read_reply(status, &body, request_id, call);
+    if result
+        .as_ref()
+        .err()
+        .is_none_or(|fault| fault.keeps_connection())
+    {
+        connection.give_back();
+    }
+    result
 }
 
 fn build_request(
@@ -109,26 +115,33 @@
         .ok()
 }
 
-fn read_reply(status: StatusCode, body: &[u8]) -> Result<LeafReply<Box<RawValue>>, LeafFailure> {
+fn read_reply(
+    status: StatusCode,
+    body: &[u8],
+    request_id: RequestId,
+    call: &LeafCall,
+) -> Result<Reply, LeafFault> {
     if status != StatusCode::OK {
-        return Err(read_refusal(body));
+        return Err(read_refusal(body, request_id, call));
     }
-    let reply: WireReply =
-        serde_json::from_slice(body).map_err(|_| failure(Reason::Mismatch, Ran::Unknown))?;
-    let request_id = RequestId::from_str_radix(&reply.request_id, 16)
-        .map_err(|_| failure(Reason::Mismatch, Ran::Unknown))?;
-    Ok(LeafReply {
-        request_id,
+    let reply: WireReply = serde_json::from_slice(body).map_err(|_| LeafFault::Malformed)?;
+    let reply = LeafReply {
+        request_id: parse_id(&reply.request_id).ok_or(LeafFault::Malformed)?,
         attempt_id: reply.attempt_id,
         shard: reply.shard,
         index_version: reply.index_version,
         rows: reply.rows,
-    })
+    };
+    if reply.answers(request_id, call) {
+        Ok(reply)
+    } else {
+        Err(LeafFault::Mismatch)
+    }
 }
 
-fn read_refusal(body: &[u8]) -> LeafFailure {
+fn read_refusal(body: &[u8], request_id: RequestId, call: &LeafCall) -> LeafFault {
     let Ok(refusal) = serde_json::from_slice::<WireRefusal>(body) else {
-        return failure(Reason::Lost, Ran::Unknown);
+        return LeafFault::Malformed;
     };
     let reason = match refusal.kind.as_str() {
         "shed" => Reason::Shed,
@@ -137,17 +150,15 @@
         "too-late" => Reason::Deadline,
         _ => Reason::Lost,
     };
-    LeafFailure {
+    let stated_id = refusal.request_id.as_deref().and_then(parse_id);
+    LeafFault::Refused(Refusal {
         reason,
         ran: refusal.ran,
+        is_own: stated_id == Some(request_id) && refusal.attempt_id == Some(call.attempt_id),
         newest_version: refusal.newest_version,
-    }
+    })
 }
 
-fn failure(reason: Reason, ran: Ran) -> LeafFailure {
-    LeafFailure {
-        reason,
-        ran,
-        newest_version: None,
-    }
+fn parse_id(text: &str) -> Option<RequestId> {
+    RequestId::from_str_radix(text, 16).ok()
 }
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -8,7 +8,11 @@
         stream::{FuturesUnordered, StreamExt},
     },
     kind::{Error, Kind, Result},
-    plan::{Action, Answer, AttemptId, Event, Gather, LeafCall, Limits, Pin, RequestId, Upstreams},
+    meter::LeafLabels,
+    plan::{
+        Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFault, Limits, Pin, Reason,
+        RequestId, Upstreams,
+    },
     record::{ServerAddr, Shard},
     serde_json::value::RawValue,
     std::{
@@ -46,11 +50,16 @@
     let run = Run {
         shared,
         service: &service.name,
-        request_id: &call.request_id,
+        request_id,
+        wire_request_id: &call.request_id,
         query: &call.query,
         connection_limit: service.connection_limit,
     };
-    let answer = run.drive(Gather::new(request_id, pin, limits)).await;
+    let gather = Gather::new(request_id, pin, limits)
+        .with_coverage(route.coverage)
+        .with_hedge(route.hedge)
+        .with_group(shared.groups.get(&service.name));
+    let answer = run.drive(gather).await;
     Ok(QueryAnswer::new(
         call.request_id.clone(),
         in_force.revision(),
@@ -61,7 +70,8 @@
 struct Run<'a> {
     shared: &'a Shared,
     service: &'a str,
-    request_id: &'a str,
+    request_id: RequestId,
+    wire_request_id: &'a str,
     query: &'a RawValue,
     connection_limit: u32,
 }
@@ -101,22 +111,51 @@
                 }
             }
             let event = next_event(&mut calls, gather.next_wake()).await;
+            self.offer_newest_record(&event, &mut gather);
             actions = gather.on_event(event, &mut InOrder, Instant::now());
         }
     }
 
+    /// Shows the query the newest record once its index version is gone.
+    fn offer_newest_record(&self, event: &Event<Rows>, gather: &mut Gather<Rows>) {
+        if !matches!(event, Event::Failed(_, failure) if failure.reason == Reason::VersionGone) {
+            return;
+        }
+        if let Ok(service) = self.shared.in_force().service(self.service) {
+            gather.learn(service);
+        }
+    }
+
     async fn make_call(&self, call: LeafCall) -> Event<Rows> {
-        self.shared.metrics.on_leaf_call(self.service, "first");
-        let attempt_id = call.attempt_id;
-        let wire = leaf::WireCall::new(self.request_id, &call, self.query);
+        let cause = call.cause.as_str();
+        self.shared.metrics.on_leaf_call(self.service, cause);
+        let began = Instant::now();
+        let wire = leaf::WireCall::new(self.wire_request_id, &call, self.query);
         let pool = self.shared.pools.get(call.server, self.connection_limit);
-        match leaf::call(&pool, &call, &wire).await {
-            Ok(reply) => Event::Replied(attempt_id, reply),
-            Err(failure) => Event::Failed(attempt_id, failure),
-        }
+        let result = leaf::call(&pool, self.request_id, &call, &wire).await;
+        let (outcome, event) = match result {
+            Ok(reply) => ("ok", Event::Replied(call.attempt_id, reply)),
+            Err(fault) => failed(&call, fault),
+        };
+        let labels = LeafLabels {
+            service: self.service,
+            cause,
+            outcome,
+        };
+        self.shared.metrics.on_leaf_end(labels, began.elapsed());
+        event
     }
 }
 
+fn failed(call: &LeafCall, fault: LeafFault) -> (&'static str, Event<Rows>) {
+    let failure = plan::LeafFailure::from(fault);
+    log::debug!(target: "relay", "Call {} to {} failed: {fault:?}.", call.attempt_id, call.server);
+    (
+        failure.reason.as_str(),
+        Event::Failed(call.attempt_id, failure),
+    )
+}
+
 async fn next_event<F>(
     calls: &mut FuturesUnordered<Abortable<F>>,
     wake: Option<Instant>,
--- a/crates/process/host/src/run.rs
+++ b/crates/process/host/src/run.rs
@@ -13,6 +13,7 @@
     anyhow::{Context, Result},
     fleet::{LifeEvent, Phase},
     meter::Metrics,
+    plan::Groups,
     record::InForce,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     store::HttpPlatform,
@@ -49,6 +50,7 @@
         members: Members::new(settings.member.clone()),
         peers: Peers::default(),
         pools: Pools::default(),
+        groups: Groups::default(),
         life: Arc::new(LifeWatch::new()),
         settings,
     });
--- a/crates/process/host/src/shared.rs
+++ b/crates/process/host/src/shared.rs
@@ -3,6 +3,7 @@
 use {
     crate::{life::LifeWatch, members::Members, peer::Peers, relay::pool::Pools, Settings},
     meter::Metrics,
+    plan::Groups,
     record::InForce,
     std::sync::Arc,
     store::HttpPlatform,
@@ -18,6 +19,7 @@
     pub(crate) members: Members,
     pub(crate) peers: Peers,
     pub(crate) pools: Pools,
+    pub(crate) groups: Groups,
     pub(crate) life: Arc<LifeWatch>,
 }
 
--- a/crates/test/fakes/src/upstream.rs
+++ b/crates/test/fakes/src/upstream.rs
@@ -294,7 +294,7 @@
         silent_before.contains(&self.id)
     }
 
-    fn refuse(&self, status: StatusCode, kind: &str) -> Response {
+    fn refuse(&self, status: StatusCode, kind: &str, call: Option<&LeafCall>) -> Response {
         self.all.seen.lock().refused += 1;
         let newest = self
             .server
@@ -304,7 +304,13 @@
             .iter()
             .max()
             .copied();
-        let body = json!({ "kind": kind, "ran": "no", "newest_version": newest });
+        let body = json!({
+            "request_id": call.map(|call| &call.request_id),
+            "attempt_id": call.map(|call| call.attempt_id),
+            "kind": kind,
+            "ran": "no",
+            "newest_version": newest,
+        });
         (status, self.headers(), Json(body)).into_response()
     }
 
@@ -387,26 +393,26 @@
     }
     connection.all.seen.lock().calls += 1;
     let Ok(call) = serde_json::from_slice::<LeafCall>(&body) else {
-        return connection.refuse(StatusCode::BAD_REQUEST, "bad-call");
+        return connection.refuse(StatusCode::BAD_REQUEST, "bad-call", None);
     };
     let behaviour = connection.server.behaviour.lock().clone();
     if behaviour.is_draining {
-        return connection.refuse(StatusCode::SERVICE_UNAVAILABLE, "draining");
+        return connection.refuse(StatusCode::SERVICE_UNAVAILABLE, "draining", Some(&call));
     }
     if !behaviour.index_versions.contains(&call.index_version) {
-        return connection.refuse(StatusCode::GONE, "version-gone");
+        return connection.refuse(StatusCode::GONE, "version-gone", Some(&call));
     }
     let waiting = connection.server.waiting.fetch_add(1, Ordering::SeqCst);
     let waiting_guard = WaitGuard(&connection.server.waiting);
     let has_slot = connection.server.slots.available_permits() > 0;
     if behaviour.is_shedding || (!has_slot && waiting >= behaviour.queue_limit) {
-        return connection.refuse(StatusCode::SERVICE_UNAVAILABLE, "shed");
+        return connection.refuse(StatusCode::SERVICE_UNAVAILABLE, "shed", Some(&call));
     }
     let deadline = Duration::from_millis(call.deadline_ms);
     let slot = timeout(deadline, connection.server.slots.acquire()).await;
     drop(waiting_guard);
     let Ok(Ok(_slot)) = slot else {
-        return connection.refuse(StatusCode::SERVICE_UNAVAILABLE, "too-late");
+        return connection.refuse(StatusCode::SERVICE_UNAVAILABLE, "too-late", Some(&call));
     };
     connection.run(shard, &call).await
 }
