--- a/crates/bin/wharf/tests/upstreams.rs
+++ b/crates/bin/wharf/tests/upstreams.rs
@@ -9,8 +9,13 @@
     },
     http::StatusCode,
     serde_json::{json, Value},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::sleep,
 };
 
+/// Time after the first sign of a drain, with room for a slow machine.
+const AFTER_A_SIGN: Duration = Duration::from_secs(3);
+
 /// Header of a deadline of a second.
 const ONE_SECOND: (&str, &str) = ("x-wharf-deadline-ms", "1000");
 
@@ -107,6 +112,77 @@
     Ok(())
 }
 
+/// Returns the first server of every shard.
+fn first_servers(path: &Path) -> Vec<SocketAddr> {
+    path.servers.iter().map(|shard| shard[0]).collect()
+}
+
+/// Returns how many executions the servers have begun.
+async fn runs_on(path: &Path, servers: &[SocketAddr]) -> Result<u64> {
+    let seen = path.seen().await?;
+    let is_on = |key: &str| servers.iter().any(|s| key.ends_with(&format!("/{s}")));
+    let runs = seen.runs.iter().filter(|(key, _)| is_on(key));
+    Ok(runs.map(|(_, count)| count).sum())
+}
+
+#[tokio::test]
+async fn a_draining_upstream_gets_no_new_work_by_its_own_word() -> Result<()> {
+    let path = Path::start(Layout::default()).await?;
+    path.configure().await?;
+    assert_eq!(complete_of(&path, 10, 4, 0).await?, 40);
+    let draining = Behaviour {
+        is_draining: true,
+        health_lies: true,
+        ..Behaviour::default()
+    };
+    for server in first_servers(&path) {
+        path.set_one_behaviour(server, &draining).await?;
+    }
+    // The first refusals are the sign; whoever was refused is served by the other server.
+    assert_eq!(complete_of(&path, 20, 4, 100).await?, 80);
+    sleep(AFTER_A_SIGN).await;
+    let before = path.seen().await?.refused;
+    assert_eq!(complete_of(&path, 25, 4, 1_000).await?, 100);
+    assert_eq!(path.seen().await?.refused, before);
+    path.set_behaviour(&draining).await?;
+    query(&path, 5_000).await?;
+    let answer = query(&path, 5_001).await?;
+    assert!(answer.text.contains("draining"), "{}", answer.text);
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_upstream_listed_as_leaving_gets_no_new_work() -> Result<()> {
+    let path = Path::start(Layout::default()).await?;
+    path.configure().await?;
+    let leaving = first_servers(&path);
+    assert_eq!(complete_of(&path, 10, 4, 0).await?, 40);
+    assert!(runs_on(&path, &leaving).await? > 0);
+    path.publish_leaving(&leaving).await?;
+    sleep(AFTER_A_SIGN).await;
+    let before = runs_on(&path, &leaving).await?;
+    assert_eq!(complete_of(&path, 25, 4, 1_000).await?, 100);
+    assert_eq!(runs_on(&path, &leaving).await?, before);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_shedding_upstream_costs_no_answer_and_is_left_in_peace() -> Result<()> {
+    let path = Path::start(Layout::default()).await?;
+    path.configure().await?;
+    let shedding = Behaviour {
+        is_shedding: true,
+        ..Behaviour::default()
+    };
+    for server in first_servers(&path) {
+        path.set_one_behaviour(server, &shedding).await?;
+    }
+    assert_eq!(complete_of(&path, 50, 4, 0).await?, 200);
+    let seen = path.seen().await?;
+    assert!(seen.refused * 10 <= seen.calls, "{seen:?}");
+    Ok(())
+}
+
 /// Waits until a host knows a route.
 async fn await_route(path: &Path, host: usize, route: &str) -> Result<()> {
     for _ in 0..500 {
@@ -114,7 +190,7 @@
         if answer.json()["kind"] != "unknown-route" {
             return Ok(());
         }
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        sleep(Duration::from_millis(20)).await;
     }
     anyhow::bail!("{route} is not in force on host {host}")
 }
--- a/crates/connection/link/src/evidence.rs
+++ b/crates/connection/link/src/evidence.rs
@@ -33,8 +33,8 @@
     Died,
     /// No connection could be opened.
     Unreachable,
-    /// No reply came in time.
-    TimedOut,
-    /// The call says nothing: cancelled, at the connection limit, or never sent.
+    /// The call was cancelled after this time without a reply.
+    Cancelled(Duration),
+    /// The call says nothing: at the connection limit, or never sent.
     Nothing,
 }
--- a/crates/connection/link/src/server.rs
+++ b/crates/connection/link/src/server.rs
@@ -94,7 +94,8 @@
             Evidence::Refused(Refusal::Shed) => self.shed.on_failure(jitter, now),
             Evidence::Refused(Refusal::Draining) => self.on_drain(DrainSign::Own, now),
             Evidence::Died | Evidence::Unreachable => self.on_failure(jitter, now),
-            Evidence::Refused(Refusal::Other) | Evidence::TimedOut | Evidence::Nothing => {}
+            Evidence::Cancelled(waited) => self.on_cancelled(waited, now),
+            Evidence::Refused(Refusal::Other) | Evidence::Nothing => {}
         }
     }
 
@@ -119,6 +120,15 @@
         self.shed.on_success();
     }
 
+    /// A call without a reply shows that the latency is at least the time waited.
+    fn on_cancelled(&mut self, waited: Duration, now: Instant) {
+        let waited_ms = waited.as_secs_f64() * 1_000.0;
+        if waited_ms > self.latency_now_ms(now) {
+            self.latency_ms = waited_ms;
+            self.latency_at = now;
+        }
+    }
+
     fn on_failure(&mut self, jitter: f64, now: Instant) {
         self.failures += 1;
         if self.failures >= FAILURES_TO_HOLD_OUT {
@@ -156,6 +166,11 @@
         self.is_listed_as_leaving || self.drains_until.is_some_and(|until| until > now)
     }
 
+    /// Returns whether the server shed a moment ago.
+    pub(crate) fn is_shedding(&self, now: Instant) -> bool {
+        self.shed.until(now).is_some()
+    }
+
     /// Returns until when the server is held out.
     pub(crate) fn held_out_until(&self, now: Instant) -> Option<Instant> {
         self.held_out.until(now)
@@ -175,7 +190,7 @@
             .filter(|load| now.saturating_duration_since(load.at) < STATED_LOAD_AGE)
             .map_or(0, |load| load.slots_in_use);
         let load = f64::from(self.in_flight.max(stated)) + 1.0;
-        let shed = if self.shed.until(now).is_some() {
+        let shed = if self.is_shedding(now) {
             SHED_COST
         } else {
             1.0
--- a/crates/connection/link/src/table.rs
+++ b/crates/connection/link/src/table.rs
@@ -82,6 +82,12 @@
         self.candidates(shard, now).is_empty()
     }
 
+    /// Returns whether a server of `shard` shed a moment ago.
+    pub fn is_shedding(&self, shard: &Shard, now: Instant) -> bool {
+        let mut servers = shard.servers.iter();
+        servers.any(|server| self.with(server.addr, now, |state| state.is_shedding(now)))
+    }
+
     /// Takes the begin of a call.
     pub fn on_begin(&self, addr: ServerAddr, now: Instant) {
         self.with(addr, now, Server::on_begin);
--- a/crates/connection/link/tests/pool.rs
+++ b/crates/connection/link/tests/pool.rs
@@ -167,7 +167,7 @@
             Self::Warm,
             Self::Refuse,
         ])
-        .unwrap()
+        .expect("the list is not empty")
     }
 }
 
--- a/crates/process/host/src/relay/exchange.rs
+++ b/crates/process/host/src/relay/exchange.rs
@@ -10,17 +10,15 @@
     http::{header, response, HeaderValue, Method, Request, Uri},
     http_body_util::{BodyExt, Full},
     kind::Ran,
-    link::{Evidence, Stated},
+    link::Stated,
+    plan::{LeafFault, Reason, Refusal},
     std::{
         future::Future,
         pin::{pin, Pin},
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{
-        select,
-        time::{sleep, timeout_at},
-    },
+    tokio::{select, time::sleep},
 };
 
 /// Header by which a server says that it takes no new work.
@@ -42,38 +40,23 @@
     pub(crate) body: Bytes,
     pub(crate) stated: Stated,
     pub(crate) first_byte: Duration,
+    pub(crate) connection: Connection,
 }
 
-/// Why there is no reply.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Unanswered {
-    pub(crate) evidence: Evidence,
-    pub(crate) ran: Ran,
-}
-
-type Outcome = Result<Exchanged, Unanswered>;
+type Outcome = Result<Exchanged, LeafFault>;
 
 /// Sends a request and reads its reply.
 ///
 /// # Errors
 ///
-/// Returns what the failure shows about the server, and whether the request ran.
+/// Returns the point at which the request failed.
 pub(crate) async fn exchange(pool: &Arc<Pool>, request: &LeafRequest) -> Outcome {
-    let checkout = async {
-        if request.is_repeatable {
-            pool.checkout().await
-        } else {
-            pool.checkout_proven().await
-        }
+    let connection = if request.is_repeatable {
+        pool.checkout().await
+    } else {
+        pool.checkout_proven().await
     };
-    let connection = timeout_at(request.deadline.into(), checkout)
-        .await
-        .map_err(|_| Unanswered::new(Evidence::Nothing, Ran::No))?
-        .map_err(Unanswered::from)?;
-    let sending = send_guarded(pool, connection, request);
-    timeout_at(request.deadline.into(), sending)
-        .await
-        .unwrap_or(Err(Unanswered::new(Evidence::TimedOut, Ran::Unknown)))
+    send_guarded(pool, connection.map_err(fault_of)?, request).await
 }
 
 async fn send_guarded(pool: &Arc<Pool>, connection: Connection, request: &LeafRequest) -> Outcome {
@@ -97,13 +80,17 @@
 }
 
 async fn send_again(pool: &Arc<Pool>, request: &LeafRequest) -> Outcome {
-    // The first sending may have reached the server, so nothing says `no` any more.
-    let unknown = |unanswered: Unanswered| Unanswered::new(unanswered.evidence, Ran::Unknown);
-    let connection = pool
-        .checkout()
-        .await
-        .map_err(|error| unknown(Unanswered::from(error)))?;
-    send(pool, connection, request).await.map_err(unknown)
+    let connection = pool.checkout().await.map_err(fault_of);
+    let outcome = match connection {
+        Ok(connection) => send(pool, connection, request).await,
+        Err(fault) => Err(fault),
+    };
+    // The first sending may have reached the server, so nothing proves `no` any more.
+    outcome.map_err(|fault| match fault {
+        LeafFault::NoConnection | LeafFault::NotWritten => LeafFault::LostAfterWrite,
+        LeafFault::Refused(_) => LeafFault::LostAfterWrite,
+        fault => fault,
+    })
 }
 
 /// Waits for the first reply of two sendings, or for the failure of both.
@@ -128,13 +115,13 @@
     let sent_at = Instant::now();
     let built = request.build(pool.host_header());
     let Some(sender) = connection.sender() else {
-        return Err(Unanswered::new(Evidence::Nothing, Ran::No));
+        return Err(LeafFault::NotWritten);
     };
     let response = sender.try_send_request(built).await.map_err(|mut error| {
         // A request that comes back was never written.
         match error.take_message() {
-            Some(_) => Unanswered::new(Evidence::Nothing, Ran::No),
-            None => Unanswered::new(Evidence::Died, Ran::Unknown),
+            Some(_) => LeafFault::NotWritten,
+            None => LeafFault::LostAfterWrite,
         }
     })?;
     let first_byte = sent_at.elapsed();
@@ -142,15 +129,15 @@
     let body = body
         .collect()
         .await
-        .map_err(|_| Unanswered::new(Evidence::Died, Ran::Unknown))?
+        .map_err(|_| LeafFault::LostInReply)?
         .to_bytes();
-    connection.give_back();
     pool.on_first_byte(first_byte);
     Ok(Exchanged {
         status: parts.status,
         body,
         stated: stated(&parts),
         first_byte,
+        connection,
     })
 }
 
@@ -182,17 +169,14 @@
     }
 }
 
-impl Unanswered {
-    fn new(evidence: Evidence, ran: Ran) -> Self {
-        Self { evidence, ran }
-    }
-}
-
-impl From<CheckoutError> for Unanswered {
-    fn from(error: CheckoutError) -> Self {
-        match error {
-            CheckoutError::Unreachable => Self::new(Evidence::Unreachable, Ran::No),
-            CheckoutError::AtLimit => Self::new(Evidence::Nothing, Ran::No),
-        }
+fn fault_of(error: CheckoutError) -> LeafFault {
+    match error {
+        CheckoutError::Unreachable => LeafFault::NoConnection,
+        CheckoutError::AtLimit => LeafFault::Refused(Refusal {
+            reason: Reason::Shed,
+            ran: Ran::No,
+            is_own: true,
+            newest_version: None,
+        }),
     }
 }
--- a/crates/process/host/src/relay/leaf.rs
+++ b/crates/process/host/src/relay/leaf.rs
@@ -4,17 +4,28 @@
     crate::relay::{
         exchange::{exchange, LeafRequest},
         pool::Pool,
+        upstreams::CallGuard,
     },
     http::StatusCode,
     kind::Ran,
-    link::Evidence,
-    plan::{AttemptId, LeafCall, LeafFailure, LeafReply, Reason, RequestId},
+    link::ServerTable,
+    plan::{AttemptId, LeafCall, LeafFault, LeafReply, Reason, Refusal, RequestId},
     record::{IndexVersion, ShardId},
     serde::{Deserialize, Serialize},
     serde_json::value::RawValue,
     std::{sync::Arc, time::Instant},
 };
 
+/// The reply of a server to one call.
+pub(crate) type Reply = LeafReply<Box<RawValue>>;
+
+/// Where a call goes.
+pub(crate) struct Target<'a> {
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) servers: &'a ServerTable,
+    pub(crate) is_repeatable: bool,
+}
+
 /// A call as upstreams read it.
 #[derive(Serialize)]
 pub(crate) struct WireCall<'a> {
@@ -36,6 +47,8 @@
 
 #[derive(Deserialize)]
 struct WireRefusal {
+    request_id: Option<String>,
+    attempt_id: Option<AttemptId>,
     kind: String,
     ran: Ran,
     newest_version: Option<IndexVersion>,
@@ -55,30 +68,34 @@
 
 /// Calls a server and reads its reply.
 ///
+/// The connection goes back to its pool only after a reply or a refusal that
+/// carries the ids of the call; any other end closes it.
+///
 /// # Errors
 ///
-/// Returns why there is no reply and whether the server executed the call.
+/// Returns the point at which the call failed.
 pub(crate) async fn call(
-    pool: &Arc<Pool>,
+    target: &Target<'_>,
+    request_id: RequestId,
     call: &LeafCall,
     wire: &WireCall<'_>,
-    is_repeatable: bool,
-) -> Result<LeafReply<Box<RawValue>>, LeafFailure> {
-    let request = build_request(call, wire, is_repeatable).ok_or(failure(Reason::Lost, Ran::No))?;
-    match exchange(pool, &request).await {
-        Ok(exchanged) => read_reply(exchanged.status, &exchanged.body),
-        Err(unanswered) => Err(failure(reason_of(unanswered.evidence), unanswered.ran)),
-    }
-}
-
-fn reason_of(evidence: Evidence) -> Reason {
-    match evidence {
-        Evidence::Unreachable => Reason::Unreachable,
-        Evidence::TimedOut => Reason::Deadline,
-        // A server at its connection limit refuses the call.
-        Evidence::Nothing => Reason::Shed,
-        _ => Reason::Lost,
+) -> Result<Reply, LeafFault> {
+    let is_repeatable = target.is_repeatable;
+    let request = build_request(call, wire, is_repeatable).ok_or(LeafFault::NotWritten)?;
+    let mut guard = CallGuard::new(target.servers, call.server, is_repeatable);
+    let exchanged = exchange(&target.pool, &request)
+        .await
+        .inspect_err(|fault| guard.on_fault(*fault))?;
+    let result = read_reply(exchanged.status, &exchanged.body, request_id, call);
+    guard.on_exchanged(&exchanged, result.as_ref().err().copied());
+    if result
+        .as_ref()
+        .err()
+        .is_none_or(|fault| fault.keeps_connection())
+    {
+        exchanged.connection.give_back();
     }
+    result
 }
 
 fn build_request(call: &LeafCall, wire: &WireCall<'_>, is_repeatable: bool) -> Option<LeafRequest> {
@@ -90,26 +107,33 @@
     })
 }
 
-fn read_reply(status: StatusCode, body: &[u8]) -> Result<LeafReply<Box<RawValue>>, LeafFailure> {
+fn read_reply(
+    status: StatusCode,
+    body: &[u8],
+    request_id: RequestId,
+    call: &LeafCall,
+) -> Result<Reply, LeafFault> {
     if status != StatusCode::OK {
-        return Err(read_refusal(body));
+        return Err(read_refusal(body, request_id, call));
     }
-    let reply: WireReply =
-        serde_json::from_slice(body).map_err(|_| failure(Reason::Mismatch, Ran::Unknown))?;
-    let request_id = RequestId::from_str_radix(&reply.request_id, 16)
-        .map_err(|_| failure(Reason::Mismatch, Ran::Unknown))?;
-    Ok(LeafReply {
-        request_id,
+    let reply: WireReply = serde_json::from_slice(body).map_err(|_| LeafFault::Malformed)?;
+    let reply = LeafReply {
+        request_id: parse_id(&reply.request_id).ok_or(LeafFault::Malformed)?,
         attempt_id: reply.attempt_id,
         shard: reply.shard,
         index_version: reply.index_version,
         rows: reply.rows,
-    })
+    };
+    if reply.answers(request_id, call) {
+        Ok(reply)
+    } else {
+        Err(LeafFault::Mismatch)
+    }
 }
 
-fn read_refusal(body: &[u8]) -> LeafFailure {
+fn read_refusal(body: &[u8], request_id: RequestId, call: &LeafCall) -> LeafFault {
     let Ok(refusal) = serde_json::from_slice::<WireRefusal>(body) else {
-        return failure(Reason::Lost, Ran::Unknown);
+        return LeafFault::Malformed;
     };
     let reason = match refusal.kind.as_str() {
         "shed" => Reason::Shed,
@@ -118,17 +142,15 @@
         "too-late" => Reason::Deadline,
         _ => Reason::Lost,
     };
-    LeafFailure {
+    let stated_id = refusal.request_id.as_deref().and_then(parse_id);
+    LeafFault::Refused(Refusal {
         reason,
         ran: refusal.ran,
+        is_own: stated_id == Some(request_id) && refusal.attempt_id == Some(call.attempt_id),
         newest_version: refusal.newest_version,
-    }
+    })
 }
 
-fn failure(reason: Reason, ran: Ran) -> LeafFailure {
-    LeafFailure {
-        reason,
-        ran,
-        newest_version: None,
-    }
+fn parse_id(text: &str) -> Option<RequestId> {
+    RequestId::from_str_radix(text, 16).ok()
 }
--- a/crates/process/host/src/relay/mod.rs
+++ b/crates/process/host/src/relay/mod.rs
@@ -5,5 +5,9 @@
 pub(crate) mod pool;
 mod query;
 mod upkeep;
+mod upstreams;
 
-pub(crate) use {query::serve, upkeep::keep_up};
+pub(crate) use {
+    query::serve,
+    upkeep::{keep_up, on_list},
+};
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::{
-        relay::{leaf, upkeep},
+        relay::{
+            leaf::{self, Target},
+            upkeep,
+            upstreams::Picker,
+        },
         shared::Shared,
     },
     fleet::{QueryAnswer, QueryCall},
@@ -11,8 +15,11 @@
         stream::{FuturesUnordered, StreamExt},
     },
     kind::{Error, Kind, Result},
-    plan::{Action, Answer, AttemptId, Event, Gather, LeafCall, Limits, Pin, RequestId, Upstreams},
-    record::{ServerAddr, Shard},
+    meter::LeafLabels,
+    plan::{
+        Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFault, Limits, Pin, Reason,
+        RequestId,
+    },
     serde_json::value::RawValue,
     std::{
         collections::HashMap,
@@ -49,12 +56,17 @@
     let run = Run {
         shared,
         service: &service.name,
-        request_id: &call.request_id,
+        request_id,
+        wire_request_id: &call.request_id,
         query: &call.query,
         share: upkeep::share_of(shared, &service),
         is_repeatable: route.repeatable,
     };
-    let answer = run.drive(Gather::new(request_id, pin, limits)).await;
+    let gather = Gather::new(request_id, pin, limits)
+        .with_coverage(route.coverage)
+        .with_hedge(route.hedge)
+        .with_group(shared.groups.get(&service.name));
+    let answer = run.drive(gather).await;
     Ok(QueryAnswer::new(
         call.request_id.clone(),
         in_force.revision(),
@@ -65,30 +77,19 @@
 struct Run<'a> {
     shared: &'a Shared,
     service: &'a str,
-    request_id: &'a str,
+    request_id: RequestId,
+    wire_request_id: &'a str,
     query: &'a RawValue,
     share: u32,
     is_repeatable: bool,
 }
 
-/// Picks servers in the order of the record.
-struct InOrder;
-
-impl Upstreams for InOrder {
-    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], _: Instant) -> Option<ServerAddr> {
-        let mut servers = shard.servers.iter().map(|server| server.addr);
-        servers
-            .clone()
-            .find(|s| !tried.contains(s))
-            .or_else(|| servers.next())
-    }
-}
-
 impl Run<'_> {
     async fn drive(&self, mut gather: Gather<Rows>) -> Answer<Rows> {
         let mut calls = FuturesUnordered::new();
         let mut handles: HashMap<AttemptId, AbortHandle> = HashMap::new();
-        let mut actions = gather.start(&mut InOrder, Instant::now());
+        let mut upstreams = Picker(&self.shared.servers);
+        let mut actions = gather.start(&mut upstreams, Instant::now());
         loop {
             for action in actions {
                 match action {
@@ -106,22 +107,55 @@
                 }
             }
             let event = next_event(&mut calls, gather.next_wake()).await;
-            actions = gather.on_event(event, &mut InOrder, Instant::now());
+            self.offer_newest_record(&event, &mut gather);
+            actions = gather.on_event(event, &mut upstreams, Instant::now());
         }
     }
 
-    async fn make_call(&self, call: LeafCall) -> Event<Rows> {
-        self.shared.metrics.on_leaf_call(self.service, "first");
-        let attempt_id = call.attempt_id;
-        let wire = leaf::WireCall::new(self.request_id, &call, self.query);
-        let pool = self.shared.pools.get(call.server, self.share);
-        match leaf::call(&pool, &call, &wire, self.is_repeatable).await {
-            Ok(reply) => Event::Replied(attempt_id, reply),
-            Err(failure) => Event::Failed(attempt_id, failure),
+    /// Shows the query the newest record once its index version is gone.
+    fn offer_newest_record(&self, event: &Event<Rows>, gather: &mut Gather<Rows>) {
+        if !matches!(event, Event::Failed(_, failure) if failure.reason == Reason::VersionGone) {
+            return;
         }
+        if let Ok(service) = self.shared.in_force().service(self.service) {
+            gather.learn(service);
+        }
+    }
+
+    async fn make_call(&self, call: LeafCall) -> Event<Rows> {
+        let cause = call.cause.as_str();
+        self.shared.metrics.on_leaf_call(self.service, cause);
+        let began = Instant::now();
+        let wire = leaf::WireCall::new(self.wire_request_id, &call, self.query);
+        let target = Target {
+            pool: self.shared.pools.get(call.server, self.share),
+            servers: &self.shared.servers,
+            is_repeatable: self.is_repeatable,
+        };
+        let result = leaf::call(&target, self.request_id, &call, &wire).await;
+        let (outcome, event) = match result {
+            Ok(reply) => ("ok", Event::Replied(call.attempt_id, reply)),
+            Err(fault) => failed(&call, fault),
+        };
+        let labels = LeafLabels {
+            service: self.service,
+            cause,
+            outcome,
+        };
+        self.shared.metrics.on_leaf_end(labels, began.elapsed());
+        event
     }
 }
 
+fn failed(call: &LeafCall, fault: LeafFault) -> (&'static str, Event<Rows>) {
+    let failure = plan::LeafFailure::from(fault);
+    log::debug!(target: "relay", "Call {} to {} failed: {fault:?}.", call.attempt_id, call.server);
+    (
+        failure.reason.as_str(),
+        Event::Failed(call.attempt_id, failure),
+    )
+}
+
 async fn next_event<F>(
     calls: &mut FuturesUnordered<Abortable<F>>,
     wake: Option<Instant>,
--- a/crates/process/host/src/relay/upkeep.rs
+++ b/crates/process/host/src/relay/upkeep.rs
@@ -3,9 +3,14 @@
 use {
     crate::shared::Shared,
     fleet::relay_set,
-    link::connection_share,
+    link::{connection_share, DrainSign},
     record::{ServerAddr, Service},
-    std::{collections::HashSet, sync::Arc, time::Duration},
+    std::{
+        collections::HashSet,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    store::{ListedHost, Role},
     tokio::{select, time::sleep},
 };
 
@@ -18,6 +23,7 @@
     loop {
         let in_use = servers_in_use(&shared);
         shared.pools.upkeep(&in_use);
+        shared.servers.retain(&in_use);
         select! {
             // The sender lives in `shared`, so the wait ends only by a change.
             _ = config.changed() => {}
@@ -26,6 +32,19 @@
     }
 }
 
+/// Takes what the platform's list says about upstreams.
+pub(crate) fn on_list(shared: &Shared, listed: &[ListedHost]) {
+    let now = Instant::now();
+    for host in listed.iter().filter(|host| host.role == Role::Upstream) {
+        if !host.leaving {
+            shared.servers.on_listed_as_staying(host.addr, now);
+        } else if shared.servers.on_drain(host.addr, DrainSign::Listed, now) {
+            log::info!(target: "link", "Upstream {} is leaving.", host.addr);
+            shared.metrics.on_event("link", "drain");
+        }
+    }
+}
+
 /// Returns how many connections this host may hold to each server of a service.
 pub(crate) fn share_of(shared: &Shared, service: &Service) -> u32 {
     connection_share(service.connection_limit, relay_count(shared, service))
--- /dev/null
+++ b/crates/process/host/src/relay/upstreams.rs
@@ -0,0 +1,95 @@
+//! What the calls of this host have found about upstreams, as a query asks for it.
+
+use {
+    crate::relay::exchange::Exchanged,
+    link::{Evidence, Refusal, ServerTable},
+    plan::{LeafFault, Reason, Upstreams},
+    record::{ServerAddr, Shard},
+    std::time::Instant,
+};
+
+/// Picks servers by the evidence of earlier calls.
+pub(crate) struct Picker<'a>(pub(crate) &'a ServerTable);
+
+impl Upstreams for Picker<'_> {
+    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], now: Instant) -> Option<ServerAddr> {
+        self.0.pick(shard, tried, &mut rand::random::<f64>, now)
+    }
+
+    fn reason(&self, shard: &Shard, now: Instant) -> Reason {
+        if self.0.all_drain(shard, now) {
+            Reason::Draining
+        } else {
+            Reason::Unreachable
+        }
+    }
+
+    fn may_hedge(&self, shard: &Shard, now: Instant) -> bool {
+        !self.0.is_shedding(shard, now)
+    }
+}
+
+/// One call in flight; its end becomes evidence about its server.
+pub(crate) struct CallGuard<'a> {
+    table: &'a ServerTable,
+    server: ServerAddr,
+    is_repeatable: bool,
+    began: Instant,
+    evidence: Option<Evidence>,
+}
+
+impl<'a> CallGuard<'a> {
+    pub(crate) fn new(table: &'a ServerTable, server: ServerAddr, is_repeatable: bool) -> Self {
+        let began = Instant::now();
+        table.on_begin(server, began);
+        Self {
+            table,
+            server,
+            is_repeatable,
+            began,
+            evidence: None,
+        }
+    }
+
+    /// Takes a reply or a refusal with what the server said about itself.
+    pub(crate) fn on_exchanged(&mut self, exchanged: &Exchanged, fault: Option<LeafFault>) {
+        let now = Instant::now();
+        self.table.on_stated(self.server, exchanged.stated, now);
+        self.evidence = Some(match fault {
+            None => Evidence::Replied(exchanged.first_byte),
+            Some(fault) => evidence_of(fault),
+        });
+    }
+
+    /// Takes the point at which the call failed.
+    pub(crate) fn on_fault(&mut self, fault: LeafFault) {
+        self.evidence = Some(evidence_of(fault));
+    }
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let evidence = self.evidence.unwrap_or(if self.is_repeatable {
+            Evidence::Cancelled(now.saturating_duration_since(self.began))
+        } else {
+            // It may have been sent on a connection gone silent, which is no fault of the server.
+            Evidence::Nothing
+        });
+        self.table
+            .on_end(self.server, evidence, rand::random(), now);
+    }
+}
+
+fn evidence_of(fault: LeafFault) -> Evidence {
+    match fault {
+        LeafFault::NoConnection => Evidence::Unreachable,
+        LeafFault::LostAfterWrite | LeafFault::LostInReply => Evidence::Died,
+        LeafFault::NotWritten | LeafFault::Malformed | LeafFault::Mismatch => Evidence::Nothing,
+        LeafFault::Refused(refusal) => match refusal.reason {
+            Reason::Shed => Evidence::Refused(Refusal::Shed),
+            Reason::Draining => Evidence::Refused(Refusal::Draining),
+            _ => Evidence::Refused(Refusal::Other),
+        },
+    }
+}
--- a/crates/process/host/src/run.rs
+++ b/crates/process/host/src/run.rs
@@ -12,7 +12,9 @@
     },
     anyhow::{Context, Result},
     fleet::{LifeEvent, Phase},
+    link::ServerTable,
     meter::Metrics,
+    plan::Groups,
     record::InForce,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     store::HttpPlatform,
@@ -49,6 +51,8 @@
         members: Members::new(settings.member.clone()),
         peers: Peers::default(),
         pools: Pools::default(),
+        servers: ServerTable::default(),
+        groups: Groups::default(),
         life: Arc::new(LifeWatch::new()),
         settings,
     });
--- a/crates/process/host/src/shared.rs
+++ b/crates/process/host/src/shared.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{life::LifeWatch, members::Members, peer::Peers, relay::pool::Pools, Settings},
+    link::ServerTable,
     meter::Metrics,
+    plan::Groups,
     record::InForce,
     std::sync::Arc,
     store::HttpPlatform,
@@ -18,6 +20,8 @@
     pub(crate) members: Members,
     pub(crate) peers: Peers,
     pub(crate) pools: Pools,
+    pub(crate) servers: ServerTable,
+    pub(crate) groups: Groups,
     pub(crate) life: Arc<LifeWatch>,
 }
 
--- a/crates/test/fakes/src/process.rs
+++ b/crates/test/fakes/src/process.rs
@@ -286,6 +286,23 @@
     ///
     /// Returns an error if the platform does not answer.
     pub async fn publish_hosts(&self) -> Result<()> {
+        self.publish_leaving(&[]).await
+    }
+
+    /// Publishes the present hosts and upstreams that are leaving.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer.
+    pub async fn publish_leaving(&self, upstreams: &[SocketAddr]) -> Result<()> {
+        let leaving = upstreams.iter().map(|addr| ListedHost {
+            role: Role::Upstream,
+            id: format!("upstream-{}", addr.port()),
+            addr: *addr,
+            region: "region-0".to_owned(),
+            zone: "zone-0".to_owned(),
+            leaving: true,
+        });
         let hosts: Vec<_> = self
             .hosts
             .iter()
@@ -297,6 +314,7 @@
                 zone: host.zone.clone(),
                 leaving: false,
             })
+            .chain(leaving)
             .collect();
         let body = serde_json::to_string(&hosts)?;
         self.control(self.platform_addr, "/fake/hosts", body).await
