--- a/crates/request/plan/tests/common/mod.rs
+++ b/crates/request/plan/tests/common/mod.rs
@@ -6,10 +6,10 @@
 use {
     kind::Ran,
     plan::{
-        Action, Answer, Event, Gather, LeafCall, LeafFailure, LeafReply, Limits, Pin, Reason,
-        RequestId, Upstreams,
+        Action, Answer, AttemptId, Event, Gather, Group, LeafCall, LeafFailure, LeafReply, Limits,
+        Pin, Reason, RequestId, Upstreams,
     },
-    record::{Index, IndexVersion, Server, ServerAddr, Service, Shard, ShardId},
+    record::{Hedge, Index, IndexVersion, Server, ServerAddr, Service, Shard, ShardId},
     std::{
         net::Ipv4Addr,
         sync::Arc,
@@ -20,8 +20,13 @@
 pub(crate) const REQUEST_ID: RequestId = 7;
 pub(crate) const SERVERS_PER_SHARD: u32 = 2;
 
-/// Rows that name where they come from.
-pub(crate) type Rows = (ShardId, IndexVersion);
+pub(crate) const HEDGE: Hedge = Hedge {
+    quantile: 0.95,
+    budget_share: 0.5,
+};
+
+/// Rows that name the call that brought them.
+pub(crate) type Rows = AttemptId;
 /// Version of an index and its number of shards.
 pub(crate) type IndexShape = (IndexVersion, u32);
 
@@ -97,7 +102,7 @@
         attempt_id: call.attempt_id,
         shard: call.shard,
         index_version: call.index_version,
-        rows: (call.shard, call.index_version),
+        rows: call.attempt_id,
     }
 }
 
@@ -149,3 +154,17 @@
         _ => None,
     })
 }
+
+/// Returns a group that knows replies of 10 ms.
+pub(crate) fn trained_group(start: Instant) -> Arc<Group> {
+    let group = Arc::<Group>::default();
+    for _ in 0..8 {
+        let mut gather = gather(&service(1, &[(1, 20)]), start, true)
+            .with_group(Arc::clone(&group))
+            .with_hedge(HEDGE);
+        for call in calls(&gather.start(&mut InOrder, start)) {
+            gather.on_event(replied(&call), &mut InOrder, start + ms(10));
+        }
+    }
+    group
+}
--- a/crates/request/plan/tests/gather.rs
+++ b/crates/request/plan/tests/gather.rs
@@ -5,14 +5,9 @@
 use {
     common::*,
     kind::Ran,
-    plan::{Cause, Event, Group, LeafCall, Reason},
+    plan::{Cause, Event, LeafCall, Reason},
     record::{Coverage, Hedge, WhenShort},
-    std::{sync::Arc, time::Instant},
-};
-
-const HEDGE: Hedge = Hedge {
-    quantile: 0.95,
-    budget_share: 0.5,
+    std::time::Instant,
 };
 
 #[test]
@@ -86,7 +81,8 @@
     let answer = finished(gather.on_event(replied(&second[1]), &mut InOrder, start)).unwrap();
     assert_eq!(answer.version, 2);
     assert_eq!(answer.coverage.covered, [0, 1]);
-    assert!(answer.rows.iter().all(|rows| rows.rows.1 == 2));
+    let rows: Vec<_> = answer.rows.iter().map(|rows| rows.rows).collect();
+    assert_eq!(rows, [second[0].attempt_id, second[1].attempt_id]);
 }
 
 #[test]
@@ -259,20 +255,6 @@
     assert_eq!(finished(actions).unwrap().ran, Ran::No);
 }
 
-/// Returns a group that knows replies of 10 ms.
-fn trained_group(start: Instant) -> Arc<Group> {
-    let group = Arc::<Group>::default();
-    for _ in 0..8 {
-        let mut gather = gather(&service(1, &[(1, 20)]), start, true)
-            .with_group(Arc::clone(&group))
-            .with_hedge(HEDGE);
-        for call in calls(&gather.start(&mut InOrder, start)) {
-            gather.on_event(replied(&call), &mut InOrder, start + ms(10));
-        }
-    }
-    group
-}
-
 #[test]
 fn a_slow_shard_is_hedged_once_and_the_loser_is_cancelled() {
     let start = Instant::now();
