--- a/crates/connection/link/src/lib.rs
+++ b/crates/connection/link/src/lib.rs
@@ -5,17 +5,27 @@
 //! shards, each under its own lock.
 
 mod back_off;
+mod delta;
 mod evidence;
+mod fingerprint;
+mod known_good;
 mod pool;
+mod quarantine;
 mod server;
 mod share;
 mod silence;
+mod suspect;
 mod table;
 
 pub use crate::{
     back_off::BackOff,
+    delta::{
+        BadDelta, HeldBack, Mark, QuarantineDelta, WireHeldBack, WireMark, WireQuarantineDelta,
+    },
     evidence::{Evidence, Refusal, Stated},
+    fingerprint::{fingerprint, Fingerprint},
     pool::{Checkout, Lease, Pool, PoolConfig},
+    quarantine::{Clearance, Outcome, Quarantine},
     server::DrainSign,
     share::connection_share,
     silence::FirstByte,
--- a/crates/process/host/src/relay/mod.rs
+++ b/crates/process/host/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! The relay: runs whole queries against the servers of a service.
 
+pub(crate) mod canary;
 mod exchange;
 mod leaf;
 pub(crate) mod pool;
--- a/crates/process/host/src/shared.rs
+++ b/crates/process/host/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the parts of a host share for the life of the process.
 
 use {
-    crate::{life::LifeWatch, members::Members, peer::Peers, relay::pool::Pools, Settings},
+    crate::{life::LifeWatch, members::Members, peer::Peers, relay::{canary::Canaries, pool::Pools}, Settings},
     link::ServerTable,
     meter::Metrics,
     plan::Groups,
@@ -21,6 +21,7 @@
     pub(crate) peers: Peers,
     pub(crate) pools: Pools,
     pub(crate) servers: ServerTable,
+    pub(crate) canaries: Canaries,
     pub(crate) groups: Groups,
     pub(crate) life: Arc<LifeWatch>,
 }
