Measure the processor time of a query against a bare fan-out

One host process and hyper-util's pooled client call the same 50 stand-ins in one run; the figure is a ratio, so the speed of the machine cancels out.

--- /dev/null
+++ b/crates/process/host/examples/cost.rs
@@ -0,0 +1,135 @@
+//! Measures the processor time of a query through the tier.
+//!
+//! One host process and a bare fan-out of hyper-util's pooled client call the
+//! same stand-ins, one after the other in one run. The figure is the ratio of
+//! their processor times for a query, so the speed of the machine cancels out.
+//! Both run on the multi-threaded runtime; `TOKIO_WORKER_THREADS` sets its width for both.
+//! Run it in release mode, after `cargo build --release --bins --examples`.
+
+use {
+    anyhow::{Context, Result},
+    fakes::{
+        process::{Layout, Path},
+        upstream::Behaviour,
+    },
+    futures::future::try_join_all,
+    http::Request,
+    http_body_util::{BodyExt, Full},
+    hyper::body::Bytes,
+    hyper_util::{
+        client::legacy::{connect::HttpConnector, Client},
+        rt::TokioExecutor,
+    },
+    nix::{
+        sys::resource::{getrusage, UsageWho},
+        unistd::{sysconf, SysconfVar},
+    },
+    serde_json::{json, Value},
+    std::{fs, net::SocketAddr, time::Duration},
+};
+
+const SHARDS: usize = 50;
+const QUERIES: u32 = 2_000;
+const WARM_UP_QUERIES: u32 = 200;
+const QUERY: &str = r#"{"item":"barrel","hall":"north"}"#;
+
+type Bare = Client<HttpConnector, Full<Bytes>>;
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let path = Path::start(Layout {
+        hosts: 1,
+        shards: SHARDS,
+        servers_per_shard: 1,
+        behaviour: Behaviour {
+            mean_ms: 0.0,
+            ..Behaviour::default()
+        },
+        ..Layout::default()
+    })
+    .await?;
+    path.configure().await?;
+    let tier = tier_time(&path).await?;
+    let bare = bare_time(&path).await?;
+    let per_query = |time: Duration| time.as_secs_f64() * 1e6 / f64::from(QUERIES);
+    println!("queries {QUERIES}, shards {SHARDS}");
+    println!("tier  {:8.1} us of processor time a query", per_query(tier));
+    println!("bare  {:8.1} us of processor time a query", per_query(bare));
+    println!("ratio {:8.2}", tier.as_secs_f64() / bare.as_secs_f64());
+    Ok(())
+}
+
+async fn tier_time(path: &Path) -> Result<Duration> {
+    let pid = path.hosts[0].process.pid();
+    let send = || path.query(0, "shortfall", &[], QUERY);
+    for _ in 0..WARM_UP_QUERIES {
+        send().await?;
+    }
+    let before = process_time(pid)?;
+    for _ in 0..QUERIES {
+        let answer = send().await?;
+        anyhow::ensure!(answer.status.is_success(), "{}", answer.text);
+    }
+    Ok(process_time(pid)? - before)
+}
+
+async fn bare_time(path: &Path) -> Result<Duration> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let servers: Vec<_> = path.servers.iter().map(|shard| shard[0]).collect();
+    for _ in 0..WARM_UP_QUERIES {
+        fan_out(&client, &servers).await?;
+    }
+    let before = own_time()?;
+    for _ in 0..QUERIES {
+        fan_out(&client, &servers).await?;
+    }
+    Ok(own_time()? - before)
+}
+
+async fn fan_out(client: &Bare, servers: &[SocketAddr]) -> Result<Vec<Value>> {
+    let calls = servers
+        .iter()
+        .enumerate()
+        .map(|(shard, server)| call(client, shard, *server));
+    try_join_all(calls).await
+}
+
+async fn call(client: &Bare, shard: usize, server: SocketAddr) -> Result<Value> {
+    let body = json!({
+        "request_id": "00000000000000000000000000000001",
+        "attempt_id": shard,
+        "index_version": 1,
+        "deadline_ms": 5_000,
+        "query": QUERY,
+    });
+    let request = Request::post(format!("http://{server}/v1/shards/{shard}/search"))
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body.to_string())))?;
+    let response = client.request(request).await?;
+    let bytes = response.into_body().collect().await?.to_bytes();
+    Ok(serde_json::from_slice(&bytes)?)
+}
+
+/// Returns the processor time of another process, from its status in `/proc`.
+fn process_time(pid: u32) -> Result<Duration> {
+    let text = fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    // The name in parentheses may hold spaces, so counting starts behind it.
+    let (_, fields) = text.rsplit_once(')').context("malformed status")?;
+    let ticks: u64 = fields
+        .split_whitespace()
+        .skip(11)
+        .take(2)
+        .filter_map(|field| field.parse::<u64>().ok())
+        .sum();
+    let per_second = sysconf(SysconfVar::CLK_TCK)?.context("no clock tick")?;
+    Ok(Duration::from_secs_f64(ticks as f64 / per_second as f64))
+}
+
+fn own_time() -> Result<Duration> {
+    let usage = getrusage(UsageWho::RUSAGE_SELF)?;
+    let micros = |time: nix::sys::time::TimeVal| {
+        Duration::from_secs(time.tv_sec().unsigned_abs())
+            + Duration::from_micros(time.tv_usec().unsigned_abs())
+    };
+    Ok(micros(usage.user_time()) + micros(usage.system_time()))
+}
