Admit whole queries at one gate of each relay

Cause: a relay sent every query straight to all shards, so a flood filled the upstreams' queues and urgent work waited behind background work.

The gate admits a query as a whole into a bounded window: urgent first, a floor for each rank, tenants in turn, bounded lines, refusal with the time to drain while the query has not run. The running wharf calls it for every query; waits, refusals and the window are exported.

--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -1,7 +1,13 @@
 //! One query on its relay: feeds the plan with events and carries its actions out.
 
 use {
-    crate::{relay::leaf, shared::Shared},
+    crate::{
+        relay::{
+            gate::{self, Tally},
+            leaf,
+        },
+        shared::Shared,
+    },
     fleet::{QueryAnswer, QueryCall},
     futures::{
         future::{AbortHandle, Abortable},
@@ -43,14 +49,17 @@
         deadline: now + Duration::from_millis(call.time_left_ms),
         is_repeatable: route.repeatable,
     };
+    let place = gate::admit(shared, &service, &call, limits.deadline).await?;
     let run = Run {
         shared,
+        tally: Tally::default(),
         service: &service.name,
         request_id: &call.request_id,
         query: &call.query,
         connection_limit: service.connection_limit,
     };
     let answer = run.drive(Gather::new(request_id, pin, limits)).await;
+    place.complete(run.tally);
     Ok(QueryAnswer::new(
         call.request_id.clone(),
         in_force.revision(),
@@ -60,6 +69,7 @@
 
 struct Run<'a> {
     shared: &'a Shared,
+    tally: Tally,
     service: &'a str,
     request_id: &'a str,
     query: &'a RawValue,
@@ -110,7 +120,11 @@
         let attempt_id = call.attempt_id;
         let wire = leaf::WireCall::new(self.request_id, &call, self.query);
         let pool = self.shared.pools.get(call.server, self.connection_limit);
-        match leaf::call(&pool, &call, &wire).await {
+        let began = Instant::now();
+        let result = leaf::call(&pool, &call, &wire).await;
+        self.tally
+            .add(began.elapsed(), result.as_ref().err().map(|f| f.reason));
+        match result {
             Ok(reply) => Event::Replied(attempt_id, reply),
             Err(failure) => Event::Failed(attempt_id, failure),
         }
--- a/crates/process/host/src/run.rs
+++ b/crates/process/host/src/run.rs
@@ -6,7 +6,7 @@
         life::LifeWatch,
         members::{self, Members},
         peer::{self, Peers},
-        relay::pool::Pools,
+        relay::{gate::Gates, pool::Pools},
         shared::Shared,
         Settings,
     },
@@ -49,6 +49,7 @@
         members: Members::new(settings.member.clone()),
         peers: Peers::default(),
         pools: Pools::default(),
+        gates: Gates::default(),
         life: Arc::new(LifeWatch::new()),
         settings,
     });
--- a/crates/process/host/src/shared.rs
+++ b/crates/process/host/src/shared.rs
@@ -1,7 +1,13 @@
 //! What the parts of a host share for the life of the process.
 
 use {
-    crate::{life::LifeWatch, members::Members, peer::Peers, relay::pool::Pools, Settings},
+    crate::{
+        life::LifeWatch,
+        members::Members,
+        peer::Peers,
+        relay::{gate::Gates, pool::Pools},
+        Settings,
+    },
     meter::Metrics,
     record::InForce,
     std::sync::Arc,
@@ -18,6 +24,7 @@
     pub(crate) members: Members,
     pub(crate) peers: Peers,
     pub(crate) pools: Pools,
+    pub(crate) gates: Gates,
     pub(crate) life: Arc<LifeWatch>,
 }
 
--- a/crates/process/meter/src/metrics.rs
+++ b/crates/process/meter/src/metrics.rs
@@ -38,6 +38,9 @@
     leaf_calls: Counter<u64>,
     revision: Gauge<u64>,
     events: Counter<u64>,
+    gate_wait_ms: Histogram<f64>,
+    gate_refusals: Counter<u64>,
+    gate_window: Gauge<u64>,
 }
 
 impl Metrics {
@@ -71,6 +74,19 @@
                 .u64_counter("wharf_events")
                 .with_description("Events of the parts of the host, by part and event")
                 .build(),
+            gate_wait_ms: meter
+                .f64_histogram("wharf_gate_wait_ms")
+                .with_description("Wait of admitted queries at the gate, by service and rank")
+                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+                .build(),
+            gate_refusals: meter
+                .u64_counter("wharf_gate_refusals")
+                .with_description("Queries refused at the gate, by service, rank and kind")
+                .build(),
+            gate_window: meter
+                .u64_gauge("wharf_gate_window")
+                .with_description("Queries of a service that this relay runs at once")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -107,6 +123,32 @@
         self.events.add(1, &labels);
     }
 
+    /// Counts a query that the gate admitted, with its wait.
+    pub fn on_gate_admit(&self, service: &str, rank: Rank, wait: Duration) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("rank", rank.as_str()),
+        ];
+        self.gate_wait_ms
+            .record(wait.as_secs_f64() * 1_000.0, &labels);
+    }
+
+    /// Counts a query that the gate refused.
+    pub fn on_gate_refusal(&self, service: &str, rank: Rank, kind: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("rank", rank.as_str()),
+            KeyValue::new("kind", kind),
+        ];
+        self.gate_refusals.add(1, &labels);
+    }
+
+    /// Records the window of a service.
+    pub fn on_gate_window(&self, service: &str, window: usize) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.gate_window.record(window as u64, &labels);
+    }
+
     /// Returns the Prometheus exposition.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/request/admit/src/gate.rs
@@ -0,0 +1,219 @@
+//! The gate of one service on one relay.
+
+use {
+    crate::{
+        estimate::{DrainRate, ServiceTime},
+        floor::Floors,
+        line::Line,
+        Action, Bounds, Config, Offer, Refusal, RefusalKind, Shown, Ticket, Window,
+    },
+    record::{ByRank, Rank, TenantId},
+    std::{
+        collections::{BTreeSet, HashMap},
+        time::{Duration, Instant},
+    },
+};
+
+#[derive(Debug)]
+struct Waiting {
+    rank: Rank,
+    tenant: TenantId,
+    deadline: Instant,
+}
+
+/// Admits the queries of one service into a bounded window.
+///
+/// Each query is offered once and ends by one call of [`Gate::complete`] or
+/// [`Gate::cancel`], unless the gate refuses it.
+#[derive(Debug)]
+pub struct Gate<W> {
+    window: W,
+    floors: Floors,
+    max_waiting: usize,
+    lines: ByRank<Line>,
+    waiting: HashMap<Ticket, Waiting>,
+    deadlines: BTreeSet<(Instant, Ticket)>,
+    running: HashMap<Ticket, Instant>,
+    service_time: ServiceTime,
+    drain_rates: ByRank<DrainRate>,
+}
+
+impl<W: Window> Gate<W> {
+    /// Creates a gate with an empty window.
+    pub fn new(config: Config, window: W) -> Self {
+        Self {
+            window,
+            floors: Floors::new(config.floor_share),
+            max_waiting: config.max_waiting,
+            lines: ByRank::default(),
+            waiting: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            running: HashMap::new(),
+            service_time: ServiceTime::default(),
+            drain_rates: ByRank::default(),
+        }
+    }
+
+    /// Replaces the floors, as when a record changes.
+    pub fn set_floor_share(&mut self, floor_share: ByRank<f64>) {
+        self.floors.set_share(floor_share);
+    }
+
+    /// Replaces the bounds of the window, as when the number of relays changes.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.window.set_bounds(bounds);
+    }
+
+    /// Takes a query that asks to be admitted.
+    pub fn offer(&mut self, offer: Offer, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        if offer.deadline <= now {
+            actions.push(self.refuse(offer.ticket, offer.rank, RefusalKind::TooLate, now));
+            return actions;
+        }
+        let is_full = self.lines.get(offer.rank).len() >= self.max_waiting;
+        if is_full && !self.displace(&offer, now, &mut actions) {
+            actions.push(self.refuse(offer.ticket, offer.rank, RefusalKind::Overloaded, now));
+            return actions;
+        }
+        self.enqueue(offer);
+        // Filled first: a query that finds room is tried whatever the estimate
+        // says, so that an estimate from a bad time cannot last.
+        self.fill(now, &mut actions);
+        self.expire(now, &mut actions);
+        actions
+    }
+
+    /// Takes the end of a running query and what the upstreams showed.
+    pub fn complete(&mut self, ticket: Ticket, shown: &Shown, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let in_flight = self.running.len();
+        if let Some(began) = self.running.remove(&ticket) {
+            self.service_time
+                .on_sample(now.saturating_duration_since(began));
+            self.window.on_complete(shown, in_flight, now);
+        }
+        self.wake_into(now, &mut actions);
+        actions
+    }
+
+    /// Takes the news that the caller of a query has gone away.
+    pub fn cancel(&mut self, ticket: Ticket, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.running.remove(&ticket).is_none() {
+            self.leave_line(ticket);
+        }
+        self.wake_into(now, &mut actions);
+        actions
+    }
+
+    /// Refuses what can no longer meet its deadline and admits what has room.
+    pub fn wake(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.wake_into(now, &mut actions);
+        actions
+    }
+
+    /// Returns when the gate next needs [`Gate::wake`].
+    pub fn next_wake(&self) -> Option<Instant> {
+        let (deadline, _) = self.deadlines.first()?;
+        let latest_start = deadline.checked_sub(self.service_time.upper());
+        Some(latest_start.unwrap_or(*deadline))
+    }
+
+    /// Returns the number of queries that may run at once.
+    pub fn window(&self) -> usize {
+        self.window.limit()
+    }
+
+    /// Returns the number of queries that are running.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of queries of `rank` that are waiting.
+    pub fn waiting(&self, rank: Rank) -> usize {
+        self.lines.get(rank).len()
+    }
+
+    /// Returns the time that a query rarely exceeds once it is running.
+    pub fn service_time(&self) -> Duration {
+        self.service_time.upper()
+    }
+
+    fn wake_into(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.expire(now, actions);
+        self.fill(now, actions);
+    }
+
+    fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while self.next_wake().is_some_and(|latest| latest <= now) {
+            let Some((_, ticket)) = self.deadlines.first().copied() else {
+                return;
+            };
+            if let Some(gone) = self.leave_line(ticket) {
+                actions.push(self.refuse(ticket, gone.rank, RefusalKind::TooLate, now));
+            }
+        }
+    }
+
+    fn fill(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while self.running.len() < self.window.limit() {
+            let Some(rank) = self.floors.next(|rank| self.lines.get(rank).len() > 0) else {
+                return;
+            };
+            let Some(ticket) = self.lines.get_mut(rank).pop() else {
+                return;
+            };
+            if let Some(waiting) = self.waiting.remove(&ticket) {
+                self.deadlines.remove(&(waiting.deadline, ticket));
+            }
+            self.floors.on_admit(rank);
+            self.drain_rates.get_mut(rank).on_admit(now);
+            self.running.insert(ticket, now);
+            actions.push(Action::Admit(ticket));
+        }
+    }
+
+    /// Makes room by refusing a query of the tenant with the most waiting.
+    fn displace(&mut self, offer: &Offer, now: Instant, actions: &mut Vec<Action>) -> bool {
+        let line = self.lines.get_mut(offer.rank);
+        let Some(ticket) = line.displace_for(&offer.tenant) else {
+            return false;
+        };
+        if let Some(waiting) = self.waiting.remove(&ticket) {
+            self.deadlines.remove(&(waiting.deadline, ticket));
+        }
+        actions.push(self.refuse(ticket, offer.rank, RefusalKind::Overloaded, now));
+        true
+    }
+
+    fn enqueue(&mut self, offer: Offer) {
+        self.lines
+            .get_mut(offer.rank)
+            .push(&offer.tenant, offer.ticket);
+        self.deadlines.insert((offer.deadline, offer.ticket));
+        let waiting = Waiting {
+            rank: offer.rank,
+            tenant: offer.tenant,
+            deadline: offer.deadline,
+        };
+        self.waiting.insert(offer.ticket, waiting);
+    }
+
+    fn leave_line(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&ticket)?;
+        self.deadlines.remove(&(waiting.deadline, ticket));
+        self.lines
+            .get_mut(waiting.rank)
+            .remove(&waiting.tenant, ticket);
+        Some(waiting)
+    }
+
+    fn refuse(&mut self, ticket: Ticket, rank: Rank, kind: RefusalKind, now: Instant) -> Action {
+        let waiting = self.lines.get(rank).len();
+        let retry_after = self.drain_rates.get_mut(rank).time_for(waiting, now);
+        Action::Refuse(ticket, Refusal { kind, retry_after })
+    }
+}
--- /dev/null
+++ b/crates/request/admit/tests/window.rs
@@ -0,0 +1,88 @@
+//! Windows under made-up signals.
+
+use {
+    admit::{Bounds, DelayAimd, Shown, Window},
+    std::time::{Duration, Instant},
+};
+
+fn shown(latency_ms: u64, sheds: u32) -> Shown {
+    Shown {
+        leaf_latency: Some(Duration::from_millis(latency_ms)),
+        sheds,
+    }
+}
+
+fn feed(window: &mut DelayAimd, count: usize, shown: &Shown) {
+    for _ in 0..count {
+        let limit = window.limit();
+        window.on_complete(shown, limit, Instant::now());
+    }
+}
+
+#[test]
+fn the_window_follows_delay_and_sheds_within_its_bounds() {
+    let bounds = Bounds::for_slots(4, 2);
+    let mut window = DelayAimd::new(bounds);
+    let initial = window.limit();
+    feed(&mut window, 200, &shown(8, 0));
+    let grown = window.limit();
+    assert!(grown > initial, "no growth without queueing");
+    feed(&mut window, 200, &shown(40, 0));
+    let narrowed = window.limit();
+    assert!(narrowed < grown, "no decrease on delay");
+    feed(&mut window, 200, &shown(8, 0));
+    let before = window.limit();
+    feed(&mut window, 200, &shown(8, 1));
+    assert!(window.limit() < before, "no decrease on sheds");
+    feed(&mut window, 10_000, &shown(40, 1));
+    assert_eq!(window.limit(), 2, "the slots of this relay stay in use");
+    feed(&mut window, 100_000, &shown(1, 0));
+    assert!(window.limit() <= 4 * initial);
+}
+
+#[test]
+fn an_idle_window_does_not_grow() {
+    let mut window = DelayAimd::new(Bounds::for_slots(4, 1));
+    let initial = window.limit();
+    for _ in 0..1_000 {
+        window.on_complete(&shown(8, 0), 1, Instant::now());
+    }
+    assert_eq!(window.limit(), initial);
+}
+
+#[test]
+fn windows_that_share_slots_converge_to_a_fair_share() {
+    // Both see the same delay: that of all queries over 20 that run without queueing.
+    let mut windows = [
+        DelayAimd::new(Bounds::for_slots(8, 1)),
+        DelayAimd::new(Bounds::for_slots(1, 1)),
+    ];
+    assert!(windows[0].limit() >= 8 * windows[1].limit());
+    // Both have seen the service at rest.
+    for window in &mut windows {
+        window.on_complete(&shown(8, 0), 1, Instant::now());
+        for _ in 0..15 {
+            window.on_complete(&shown(8, 0), 1, Instant::now());
+        }
+    }
+    for window in &mut windows {
+        window.set_bounds(Bounds::for_slots(4, 1));
+    }
+    for _ in 0..20_000 {
+        let running: usize = windows.iter().map(Window::limit).sum();
+        let latency_ms = 8 * running.max(20) as u64 / 20;
+        for window in &mut windows {
+            feed(window, 1, &shown(latency_ms, 0));
+        }
+    }
+    let [a, b] = windows.map(|window| window.limit());
+    assert!(a.abs_diff(b) <= 3, "{a} and {b}");
+}
+
+#[test]
+fn new_bounds_scale_the_window() {
+    let mut window = DelayAimd::new(Bounds::for_slots(4, 1));
+    let whole = window.limit();
+    window.set_bounds(Bounds::for_slots(4, 4));
+    assert_eq!(window.limit(), whole / 4);
+}
--- a/crates/version/record/src/in_force.rs
+++ b/crates/version/record/src/in_force.rs
@@ -95,6 +95,13 @@
             .ok_or_else(|| Error::new(Kind::UnknownRecord, format!("no service '{name}'")))
     }
 
+    /// Returns the newest version of every route.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes
+            .values()
+            .filter_map(|versions| versions.values().next_back())
+    }
+
     /// Returns the newest record of every service.
     pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
         self.services
