Hold poison requests back after two canaries crash

Cause: a request that crashes each upstream that runs it went to every shard at once, and again with every retry and every resend.

Change: a fingerprint of route and canonical query. An entry sends a fingerprint that it does not know as harmless to its owner among the relays first, so that canaries run on one relay.

Canaries only while crashes are fresh cost nothing in calm, and a first poison request crashes every shard.

--- a/crates/connection/link/src/fingerprint.rs
+++ b/crates/connection/link/src/fingerprint.rs
@@ -72,3 +72,14 @@
     hash.update(&[tag]);
     hash.update(&(length as u64).to_le_bytes());
 }
+
+/// Returns the weight of a host for a fingerprint; the host with the highest is its owner.
+///
+/// A request without a success to its name goes to its owner first, so that
+/// its canaries run on one relay, whichever entry it comes through.
+pub fn owner_weight(fingerprint: Fingerprint, host_id: &str) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(&fingerprint.to_le_bytes());
+    hash.update(host_id.as_bytes());
+    hash.digest()
+}
--- a/crates/connection/link/src/lib.rs
+++ b/crates/connection/link/src/lib.rs
@@ -23,7 +23,7 @@
         BadDelta, HeldBack, Mark, QuarantineDelta, WireHeldBack, WireMark, WireQuarantineDelta,
     },
     evidence::{Evidence, Refusal, Stated},
-    fingerprint::{fingerprint, Fingerprint},
+    fingerprint::{fingerprint, owner_weight, Fingerprint},
     pool::{Checkout, Lease, Pool, PoolConfig},
     quarantine::{Clearance, Outcome, Quarantine},
     server::DrainSign,
--- a/crates/process/host/src/entry/query.rs
+++ b/crates/process/host/src/entry/query.rs
@@ -16,11 +16,13 @@
     },
     fleet::{relay_set, Member, Phase, QueryAnswer, QueryCall, PROTOCOL_VERSION},
     kind::{Error, Kind, Ran, Result},
+    link::Fingerprint,
     meter::QueryLabels,
     plan::{verdict, RequestId},
     record::Route,
     serde_json::value::RawValue,
     std::{
+        cmp::Reverse,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -170,7 +172,14 @@
     let relays = relay_set(&service.name, &members, count);
     let own_id = &shared.settings.member.id;
     let mut last_error = Error::new(Kind::HostLost, "no relay is known").with_ran(Ran::No);
-    for relay in in_turn(relays, own_id, &call.request_id) {
+    let fingerprint = link::fingerprint(&route.name, call.query.get());
+    let quarantine = &shared.canaries.quarantine;
+    let relays = if quarantine.is_known_good(fingerprint) {
+        in_turn(relays, own_id, &call.request_id)
+    } else {
+        owner_first(relays, fingerprint)
+    };
+    for relay in relays {
         call.time_left_ms = time_left_ms(deadline)?;
         let answer = if relay.id == *own_id {
             relay::serve(shared, call.clone()).await
@@ -181,7 +190,12 @@
                 .await
         };
         match answer {
-            Ok(answer) if answer.request_id == call.request_id => return Ok(answer),
+            Ok(answer) if answer.request_id == call.request_id => {
+                if answer.coverage.is_complete() {
+                    quarantine.on_success(fingerprint);
+                }
+                return Ok(answer);
+            }
             Ok(_) => {
                 last_error = Error::new(Kind::HostLost, "the relay answered another request");
                 if !route.repeatable {
@@ -215,6 +229,12 @@
     own
 }
 
+/// Orders the relays by their weight for a request that no host knows as harmless.
+fn owner_first(mut relays: Vec<&Member>, fingerprint: Fingerprint) -> Vec<&Member> {
+    relays.sort_by_key(|relay| Reverse(link::owner_weight(fingerprint, &relay.id)));
+    relays
+}
+
 fn time_left_ms(deadline: Instant) -> Result<u64> {
     let left = deadline.saturating_duration_since(Instant::now());
     let left = left.saturating_sub(Duration::from_millis(OWN_SHARE_MS));
--- a/crates/process/host/src/relay/canary.rs
+++ b/crates/process/host/src/relay/canary.rs
@@ -1,15 +1,12 @@
 //! The way of a call past the quarantine: pass, go as a canary, wait, or be held back.
 
 use {
+    kind::{Error, Kind, Ran, Result},
     link::{Clearance, Fingerprint, Outcome, Quarantine},
     plan::{LeafFault, Reason, Refusal},
     record::ServerAddr,
     std::time::{Duration, Instant},
-    tokio::{
-        pin, select,
-        sync::Notify,
-        time::sleep_until,
-    },
+    tokio::{pin, select, sync::Notify, time::sleep_until},
 };
 
 /// Signals for the ends of canaries; fingerprints share them.
@@ -115,11 +112,27 @@
     }
 }
 
+/// Refuses a query whose fingerprint is held back.
+///
+/// # Errors
+///
+/// Returns [`Kind::Quarantined`] with the time that is left.
+pub(crate) fn check(canaries: &Canaries, fingerprint: Fingerprint) -> Result<()> {
+    match canaries.quarantine.held_for(fingerprint, Instant::now()) {
+        None => Ok(()),
+        Some(left) => Err(Error::new(
+            Kind::Quarantined,
+            format!("request {fingerprint:016x} has crashed upstreams and is held back"),
+        )
+        .with_retry_after(left)),
+    }
+}
+
 /// Returns the fault of a call that is held back.
 pub(crate) fn held_back() -> LeafFault {
     LeafFault::Refused(Refusal {
         reason: Reason::Quarantined,
-        ran: kind::Ran::No,
+        ran: Ran::No,
         is_own: true,
         newest_version: None,
     })
--- a/crates/process/host/src/relay/mod.rs
+++ b/crates/process/host/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod canary;
 mod exchange;
+pub(crate) mod gate;
 mod leaf;
 pub(crate) mod pool;
 mod query;
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -3,6 +3,8 @@
 use {
     crate::{
         relay::{
+            canary,
+            gate::{self, Tally},
             leaf::{self, Target},
             upkeep,
             upstreams::Picker,
@@ -15,6 +17,7 @@
         stream::{FuturesUnordered, StreamExt},
     },
     kind::{Error, Kind, Result},
+    link::Fingerprint,
     meter::LeafLabels,
     plan::{
         Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFault, Limits, Pin, Reason,
@@ -53,20 +56,26 @@
         deadline: now + Duration::from_millis(call.time_left_ms),
         is_repeatable: route.repeatable,
     };
+    let fingerprint = link::fingerprint(&route.name, call.query.get());
+    canary::check(&shared.canaries, fingerprint)?;
+    let place = gate::admit(shared, &service, &call, limits.deadline).await?;
     let run = Run {
         shared,
+        tally: Tally::default(),
         service: &service.name,
         request_id,
         wire_request_id: &call.request_id,
         query: &call.query,
         share: upkeep::share_of(shared, &service),
         is_repeatable: route.repeatable,
+        fingerprint,
     };
     let gather = Gather::new(request_id, pin, limits)
         .with_coverage(route.coverage)
         .with_hedge(route.hedge)
         .with_group(shared.groups.get(&service.name));
     let answer = run.drive(gather).await;
+    place.complete(run.tally);
     Ok(QueryAnswer::new(
         call.request_id.clone(),
         in_force.revision(),
@@ -76,12 +85,14 @@
 
 struct Run<'a> {
     shared: &'a Shared,
+    tally: Tally,
     service: &'a str,
     request_id: RequestId,
     wire_request_id: &'a str,
     query: &'a RawValue,
     share: u32,
     is_repeatable: bool,
+    fingerprint: Fingerprint,
 }
 
 impl Run<'_> {
@@ -122,7 +133,13 @@
         }
     }
 
-    async fn make_call(&self, call: LeafCall) -> Event<Rows> {
+    async fn make_call(&self, mut call: LeafCall) -> Event<Rows> {
+        let asked = Instant::now();
+        let canaries = &self.shared.canaries;
+        let Ok(cleared) = canaries.clear(self.fingerprint, call.server).await else {
+            return failed(&call, canary::held_back()).1;
+        };
+        call.time_left = call.time_left.saturating_sub(asked.elapsed());
         let cause = call.cause.as_str();
         self.shared.metrics.on_leaf_call(self.service, cause);
         let began = Instant::now();
@@ -133,6 +150,9 @@
             is_repeatable: self.is_repeatable,
         };
         let result = leaf::call(&target, self.request_id, &call, &wire).await;
+        let failure = result.as_ref().err().copied().map(plan::LeafFailure::from);
+        self.tally.add(began.elapsed(), failure.map(|f| f.reason));
+        cleared.on_end(result.as_ref().err().copied());
         let (outcome, event) = match result {
             Ok(reply) => ("ok", Event::Replied(call.attempt_id, reply)),
             Err(fault) => failed(&call, fault),
--- a/crates/process/host/src/run.rs
+++ b/crates/process/host/src/run.rs
@@ -6,7 +6,7 @@
         life::LifeWatch,
         members::{self, Members},
         peer::{self, Peers},
-        relay::{self, canary::Canaries, pool::Pools},
+        relay::{self, canary::Canaries, gate::Gates, pool::Pools},
         shared::Shared,
         Settings,
     },
@@ -54,6 +54,7 @@
         servers: ServerTable::default(),
         canaries: Canaries::default(),
         groups: Groups::default(),
+        gates: Gates::default(),
         life: Arc::new(LifeWatch::new()),
         settings,
     });
--- a/crates/process/host/src/shared.rs
+++ b/crates/process/host/src/shared.rs
@@ -1,7 +1,13 @@
 //! What the parts of a host share for the life of the process.
 
 use {
-    crate::{life::LifeWatch, members::Members, peer::Peers, relay::{canary::Canaries, pool::Pools}, Settings},
+    crate::{
+        life::LifeWatch,
+        members::Members,
+        peer::Peers,
+        relay::{canary::Canaries, gate::Gates, pool::Pools},
+        Settings,
+    },
     link::ServerTable,
     meter::Metrics,
     plan::Groups,
@@ -23,6 +29,7 @@
     pub(crate) servers: ServerTable,
     pub(crate) canaries: Canaries,
     pub(crate) groups: Groups,
+    pub(crate) gates: Gates,
     pub(crate) life: Arc<LifeWatch>,
 }
 
