Test every point where a connection to an upstream can fail

A host runs in process against a raw TCP stand-in that fails at a chosen point of each call: before and inside the read, after it, inside head and body of the reply, garbage, ids of another call, refusals (own and of another call), closed after the reply. The stand-in counts what ran. 22 fixed and 150 drawn sequences with a fixed seed; `no` must mean that nothing ran, and it must be said at least once where it is due.

--- /dev/null
+++ b/crates/process/host/tests/leaf_faults.rs
@@ -0,0 +1,304 @@
+//! Wherever a connection to an upstream fails, `ran: no` is said only if nothing ran.
+//!
+//! A host runs in this process against a raw stand-in that fails at a chosen
+//! point of each call and counts the calls that it read in full and did not
+//! refuse: those have run.
+
+use {
+    anyhow::{ensure, Result},
+    fakes::{client::TestClient, platform::FakePlatform},
+    host::{RawSettings, RunningHost, Settings},
+    http::Method,
+    parking_lot::Mutex,
+    quickcheck::{Arbitrary, Gen},
+    serde_json::{json, Value},
+    std::{collections::VecDeque, net::SocketAddr, sync::Arc},
+    store::{ListedHost, Role},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        spawn,
+    },
+};
+
+const SEED: u64 = 4;
+const CASES: usize = 150;
+const TOKEN: &str = "leaf-faults-token";
+/// Bytes read or written before a connection is cut in the middle.
+const CUT_BYTES: usize = 20;
+
+/// Where a call fails.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Point {
+    BeforeRead,
+    MidRead,
+    AfterRead,
+    MidHead,
+    MidBody,
+    Garbage,
+    Crossed,
+    RefusedOwn,
+    RefusedCrossed,
+    AfterReply,
+    Nowhere,
+}
+
+const POINTS: [Point; 11] = [
+    Point::BeforeRead,
+    Point::MidRead,
+    Point::AfterRead,
+    Point::MidHead,
+    Point::MidBody,
+    Point::Garbage,
+    Point::Crossed,
+    Point::RefusedOwn,
+    Point::RefusedCrossed,
+    Point::AfterReply,
+    Point::Nowhere,
+];
+
+impl Arbitrary for Point {
+    fn arbitrary(g: &mut Gen) -> Self {
+        *g.choose(&POINTS).expect("a point")
+    }
+}
+
+/// The stand-in: points of the next calls, and the calls that ran.
+#[derive(Default)]
+struct StandIn {
+    points: Mutex<VecDeque<Point>>,
+    ran: Mutex<u64>,
+}
+
+impl StandIn {
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn(Arc::clone(&self).serve(stream));
+        }
+    }
+
+    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        // The end of the connection is the point of the exercise.
+        while self.serve_call(&mut stream).await.is_some() {}
+    }
+
+    /// Serves one call; `None` closes the connection.
+    async fn serve_call(&self, stream: &mut TcpStream) -> Option<()> {
+        let mut first = [0; CUT_BYTES];
+        stream.readable().await.ok()?;
+        let point = self.points.lock().pop_front().unwrap_or(Point::Nowhere);
+        if point == Point::BeforeRead {
+            return None;
+        }
+        stream.read_exact(&mut first).await.ok()?;
+        if point == Point::MidRead {
+            return None;
+        }
+        let call = read_call(stream, &first).await?;
+        // A crossed refusal is one of another call, so this call runs.
+        if point != Point::RefusedOwn {
+            *self.ran.lock() += 1;
+        }
+        let reply = reply_text(point, &call);
+        let sent = match point {
+            Point::AfterRead => return None,
+            Point::MidHead => &reply[..CUT_BYTES],
+            Point::MidBody => &reply[..reply.len() - CUT_BYTES],
+            _ => &reply,
+        };
+        stream.write_all(sent.as_bytes()).await.ok()?;
+        let is_cut = matches!(point, Point::MidHead | Point::MidBody | Point::AfterReply);
+        (!is_cut).then_some(())
+    }
+}
+
+async fn read_call(stream: &mut TcpStream, first: &[u8]) -> Option<Value> {
+    let mut bytes = first.to_vec();
+    let mut buffer = [0; 1_024];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((_, body)) = text.split_once("\r\n\r\n") {
+            if let Ok(call) = serde_json::from_str(body) {
+                return Some(call);
+            }
+        }
+        let count = stream.read(&mut buffer).await.ok()?;
+        if count == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&buffer[..count]);
+    }
+}
+
+fn reply_text(point: Point, call: &Value) -> String {
+    let is_crossed = matches!(point, Point::Crossed | Point::RefusedCrossed);
+    let is_refused = matches!(point, Point::RefusedOwn | Point::RefusedCrossed);
+    let attempt_id = call["attempt_id"].as_u64().unwrap_or(0) + u64::from(is_crossed);
+    let body = match point {
+        Point::Garbage => "this is not JSON, though it is long enough".to_owned(),
+        _ if is_refused => json!({
+            "request_id": call["request_id"],
+            "attempt_id": attempt_id,
+            "kind": "shed",
+            "ran": "no",
+        })
+        .to_string(),
+        _ => json!({
+            "request_id": call["request_id"],
+            "attempt_id": attempt_id,
+            "shard": 0,
+            "index_version": call["index_version"],
+            "rows": [],
+        })
+        .to_string(),
+    };
+    let status = if is_refused { "503 Busy" } else { "200 OK" };
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+/// A host with one shard that has one server.
+struct Fixture {
+    host: RunningHost,
+    client: TestClient,
+}
+
+impl Fixture {
+    async fn start(server: SocketAddr) -> Result<Self> {
+        let platform = FakePlatform::new();
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let platform_addr = listener.local_addr()?;
+        spawn(platform.clone().serve(listener));
+        let host = host::run(settings(platform_addr)?).await?;
+        platform.set_hosts(vec![ListedHost {
+            role: Role::Wharf,
+            id: "host-0".to_owned(),
+            addr: host.peer_addr,
+            region: "region-0".to_owned(),
+            zone: "zone-0".to_owned(),
+            leaving: false,
+        }]);
+        let fixture = Self {
+            host,
+            client: TestClient::default(),
+        };
+        fixture.put("desk", &service(server)).await?;
+        fixture.put("search", &route()).await?;
+        fixture.host.ready().await;
+        Ok(fixture)
+    }
+
+    async fn put(&self, name: &str, record: &Value) -> Result<()> {
+        let path = format!("/v1/admin/records/{name}/1");
+        let token = format!("Bearer {TOKEN}");
+        let headers = [("authorization", token.as_str())];
+        let addr = self.host.admin_addr;
+        let body = record.to_string();
+        let sent = self.client.send(Method::PUT, addr, &path, &headers, body);
+        let answer = sent.await?;
+        ensure!(answer.status.is_success(), "{}", answer.text);
+        Ok(())
+    }
+
+    async fn query(&self, body: String) -> Result<Value> {
+        let headers = [("x-wharf-tenant", "clerks")];
+        let addr = self.host.entry_addr;
+        let sent = self
+            .client
+            .send(Method::POST, addr, "/v1/query/search", &headers, body);
+        Ok(sent.await?.json())
+    }
+}
+
+fn settings(platform_addr: SocketAddr) -> Result<Settings> {
+    Ok(Settings::try_from(RawSettings {
+        host_id: "host-0".to_owned(),
+        region: "region-0".to_owned(),
+        zone: "zone-0".to_owned(),
+        entry_addr: "127.0.0.1:0".to_owned(),
+        peer_addr: "127.0.0.1:0".to_owned(),
+        admin_addr: "127.0.0.1:0".to_owned(),
+        platform_addr: platform_addr.to_string(),
+        admin_token: TOKEN.to_owned(),
+        balancer_lag_ms: 0,
+        max_body_bytes: 65_536,
+        default_relays: 1,
+    })?)
+}
+
+fn service(server: SocketAddr) -> Value {
+    let servers = json!([{ "addr": server, "zone": "zone-0" }]);
+    json!({
+        "schema_version": 2,
+        "name": "desk",
+        "version": 1,
+        "service": {
+            "connection_limit": 4,
+            "slots": 2,
+            "indexes": [{ "version": 1, "shards": [{ "id": 0, "servers": servers }] }],
+        },
+    })
+}
+
+fn route() -> Value {
+    json!({
+        "schema_version": 2,
+        "name": "search",
+        "version": 1,
+        "route": {
+            "service": "desk",
+            "repeatable": true,
+            "default_deadline_ms": 5_000,
+            "max_deadline_ms": 10_000,
+        },
+    })
+}
+
+#[tokio::test]
+async fn no_is_said_only_if_nothing_ran() -> Result<()> {
+    let stand_in = Arc::<StandIn>::default();
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    spawn(Arc::clone(&stand_in).accept(listener));
+    let fixture = Fixture::start(addr).await?;
+    // Each point once on a fresh and once on a used connection.
+    let mut said_no = 0;
+    for point in POINTS.iter().chain(&POINTS) {
+        said_no += u64::from(query_truly(&fixture, &stand_in, vec![*point; 3]).await?);
+    }
+    assert!(said_no > 0, "a refusal with proof is never passed on");
+    let mut gen = Gen::from_size_and_seed(6, SEED);
+    for _ in 0..CASES {
+        query_truly(&fixture, &stand_in, Vec::arbitrary(&mut gen)).await?;
+    }
+    Ok(())
+}
+
+/// Sends a query and returns whether its answer said `no`.
+async fn query_truly(fixture: &Fixture, stand_in: &StandIn, points: Vec<Point>) -> Result<bool> {
+    let body = json!({ "points": format!("{points:?}") }).to_string();
+    *stand_in.points.lock() = points.iter().copied().collect();
+    *stand_in.ran.lock() = 0;
+    let answer = fixture.query(body).await?;
+    let ran = *stand_in.ran.lock();
+    let says_no = answer["ran"] == "no";
+    ensure!(
+        !says_no || ran == 0,
+        "{points:?}: ran {ran} times, {answer}"
+    );
+    ensure!(
+        answer["coverage"]["is_complete"] != true || ran > 0,
+        "{points:?}: covered, but nothing ran: {answer}"
+    );
+    Ok(says_no)
+}
+
+#[tokio::test]
+async fn a_server_that_cannot_be_reached_ran_nothing() -> Result<()> {
+    let gone = TcpListener::bind("127.0.0.1:0").await?.local_addr()?;
+    let fixture = Fixture::start(gone).await?;
+    let answer = fixture.query("{}".to_owned()).await?;
+    assert_eq!(answer["ran"], "no", "{answer}");
+    assert_eq!(answer["kind"], "unreachable");
+    Ok(())
+}
