--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -1,7 +1,13 @@
 //! One query on its relay: feeds the plan with events and carries its actions out.
 
 use {
-    crate::{relay::leaf, shared::Shared},
+    crate::{
+        relay::{
+            gate::{self, Tally},
+            leaf,
+        },
+        shared::Shared,
+    },
     fleet::{QueryAnswer, QueryCall},
     futures::{
         future::{AbortHandle, Abortable},
@@ -10,8 +16,8 @@
     kind::{Error, Kind, Result},
     meter::LeafLabels,
     plan::{
-        Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFault, Limits, Pin, Reason,
-        RequestId, Upstreams,
+        Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFailure, LeafFault, Limits, Pin,
+        Reason, RequestId, Upstreams,
     },
     record::{ServerAddr, Shard},
     serde_json::value::RawValue,
@@ -47,8 +53,10 @@
         deadline: now + Duration::from_millis(call.time_left_ms),
         is_repeatable: route.repeatable,
     };
+    let place = gate::admit(shared, &service, &call, limits.deadline).await?;
     let run = Run {
         shared,
+        tally: Tally::default(),
         service: &service.name,
         request_id,
         wire_request_id: &call.request_id,
@@ -60,6 +68,7 @@
         .with_hedge(route.hedge)
         .with_group(shared.groups.get(&service.name));
     let answer = run.drive(gather).await;
+    place.complete(run.tally);
     Ok(QueryAnswer::new(
         call.request_id.clone(),
         in_force.revision(),
@@ -69,6 +78,7 @@
 
 struct Run<'a> {
     shared: &'a Shared,
+    tally: Tally,
     service: &'a str,
     request_id: RequestId,
     wire_request_id: &'a str,
@@ -132,28 +142,28 @@
         let began = Instant::now();
         let wire = leaf::WireCall::new(self.wire_request_id, &call, self.query);
         let pool = self.shared.pools.get(call.server, self.connection_limit);
-        let result = leaf::call(&pool, self.request_id, &call, &wire).await;
-        let (outcome, event) = match result {
-            Ok(reply) => ("ok", Event::Replied(call.attempt_id, reply)),
-            Err(fault) => failed(&call, fault),
-        };
+        let result = leaf::call(&pool, self.request_id, &call, &wire)
+            .await
+            .map_err(|fault| failed(&call, fault));
+        let latency = began.elapsed();
+        let reason = result.as_ref().err().map(|failure| failure.reason);
+        self.tally.add(latency, reason);
         let labels = LeafLabels {
             service: self.service,
             cause,
-            outcome,
+            outcome: reason.map_or("ok", Reason::as_str),
         };
-        self.shared.metrics.on_leaf_end(labels, began.elapsed());
-        event
+        self.shared.metrics.on_leaf_end(labels, latency);
+        match result {
+            Ok(reply) => Event::Replied(call.attempt_id, reply),
+            Err(failure) => Event::Failed(call.attempt_id, failure),
+        }
     }
 }
 
-fn failed(call: &LeafCall, fault: LeafFault) -> (&'static str, Event<Rows>) {
-    let failure = plan::LeafFailure::from(fault);
+fn failed(call: &LeafCall, fault: LeafFault) -> LeafFailure {
     log::debug!(target: "relay", "Call {} to {} failed: {fault:?}.", call.attempt_id, call.server);
-    (
-        failure.reason.as_str(),
-        Event::Failed(call.attempt_id, failure),
-    )
+    fault.into()
 }
 
 async fn next_event<F>(
--- a/crates/process/host/src/run.rs
+++ b/crates/process/host/src/run.rs
@@ -6,7 +6,7 @@
         life::LifeWatch,
         members::{self, Members},
         peer::{self, Peers},
-        relay::pool::Pools,
+        relay::{gate::Gates, pool::Pools},
         shared::Shared,
         Settings,
     },
@@ -51,6 +51,7 @@
         peers: Peers::default(),
         pools: Pools::default(),
         groups: Groups::default(),
+        gates: Gates::default(),
         life: Arc::new(LifeWatch::new()),
         settings,
     });
--- a/crates/process/host/src/shared.rs
+++ b/crates/process/host/src/shared.rs
@@ -1,7 +1,13 @@
 //! What the parts of a host share for the life of the process.
 
 use {
-    crate::{life::LifeWatch, members::Members, peer::Peers, relay::pool::Pools, Settings},
+    crate::{
+        life::LifeWatch,
+        members::Members,
+        peer::Peers,
+        relay::{gate::Gates, pool::Pools},
+        Settings,
+    },
     meter::Metrics,
     plan::Groups,
     record::InForce,
@@ -20,6 +26,7 @@
     pub(crate) peers: Peers,
     pub(crate) pools: Pools,
     pub(crate) groups: Groups,
+    pub(crate) gates: Gates,
     pub(crate) life: Arc<LifeWatch>,
 }
 
--- a/crates/process/host/tests/leaf_faults.rs
+++ b/crates/process/host/tests/leaf_faults.rs
@@ -211,7 +211,7 @@
 }
 
 fn settings(platform_addr: SocketAddr) -> Result<Settings> {
-    Ok(Settings::try_from(RawSettings {
+    Settings::try_from(RawSettings {
         host_id: "host-0".to_owned(),
         region: "region-0".to_owned(),
         zone: "zone-0".to_owned(),
@@ -223,7 +223,7 @@
         balancer_lag_ms: 0,
         max_body_bytes: 65_536,
         default_relays: 1,
-    })?)
+    })
 }
 
 fn service(server: SocketAddr) -> Value {
--- a/crates/request/plan/tests/quick.rs
+++ b/crates/request/plan/tests/quick.rs
@@ -294,8 +294,8 @@
 fn no_sequence_of_events_makes_an_answer_false() {
     fn holds(script: Script) -> bool {
         let mut observer = Observer::new(&script);
-        for happening in &script.happenings {
-            observer.happen(happening);
+        for happening in script.happenings {
+            observer.happen(&happening);
         }
         observer.finish();
         observer.check();
