--- a/crates/process/host/src/shared.rs
+++ b/crates/process/host/src/shared.rs
@@ -9,6 +9,7 @@
         Settings,
     },
     meter::Metrics,
+    plan::Groups,
     record::InForce,
     std::sync::Arc,
     store::HttpPlatform,
@@ -24,6 +25,7 @@
     pub(crate) members: Members,
     pub(crate) peers: Peers,
     pub(crate) pools: Pools,
+    pub(crate) groups: Groups,
     pub(crate) gates: Gates,
     pub(crate) life: Arc<LifeWatch>,
 }
