--- a/crates/connection/link/src/lib.rs
+++ b/crates/connection/link/src/lib.rs
@@ -28,6 +28,6 @@
     quarantine::{Clearance, Outcome, Quarantine},
     server::DrainSign,
     share::connection_share,
-    silence::FirstByte,
+    silence::{Silence, Suspicion},
     table::{Chance, ServerTable},
 };
--- a/crates/connection/link/src/pool.rs
+++ b/crates/connection/link/src/pool.rs
@@ -90,6 +90,11 @@
         self.out + u32::try_from(self.idle.len()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the number of connections on loan or being opened.
+    pub fn out(&self) -> u32 {
+        self.out
+    }
+
     /// Returns whether a further connection fits the share.
     pub fn has_room(&self) -> bool {
         self.held() < self.config.share
--- a/crates/process/host/src/relay/exchange.rs
+++ b/crates/process/host/src/relay/exchange.rs
@@ -1,8 +1,8 @@
 //! One request and its reply on the connections of one server.
 //!
 //! A repeatable request that gets no byte on a reused connection within the
-//! suspicion time is sent once more on a trusted or fresh one, and the first
-//! reply wins. A request that may not be repeated is sent once.
+//! suspicion time is sent once more on a trusted or fresh one, if a test finds
+//! that connections have gone silent, and the first reply wins. A request that may not be repeated is sent once.
 
 use {
     crate::relay::pool::{CheckoutError, Connection, Pool},
@@ -10,7 +10,7 @@
     http::{header, response, HeaderValue, Method, Request, Uri},
     http_body_util::{BodyExt, Full},
     kind::Ran,
-    link::Stated,
+    link::{Stated, Suspicion},
     plan::{LeafFault, Reason, Refusal},
     std::{
         future::Future,
@@ -26,6 +26,9 @@
 /// Header by which a server states its slots in use.
 const LOAD_HEADER: &str = "x-upstream-load";
 
+/// Pause between two looks at a suspicion that waits for its test.
+const SUSPICION_PAUSE: Duration = Duration::from_millis(10);
+
 /// A request as it goes to one server.
 pub(crate) struct LeafRequest {
     pub(crate) uri: Uri,
@@ -65,18 +68,34 @@
     }
     let sent_at = Instant::now();
     let time_left = request.deadline.saturating_duration_since(sent_at);
-    let suspicion_time = pool.suspicion_time(time_left);
     let mut first = Box::pin(send(pool, connection, request));
-    select! {
-        outcome = &mut first => return outcome,
-        () = sleep(suspicion_time) => pool.on_suspicion(sent_at),
-    }
-    if !pool.has_room() {
-        // The suspected connection makes room for the fresh one.
-        drop(first);
-        return send_again(pool, request).await;
+    let mut pause = pool.suspicion_time(time_left);
+    loop {
+        select! {
+            outcome = &mut first => return outcome,
+            () = sleep(pause) => {}
+        }
+        let test = match pool.on_suspicion(sent_at) {
+            Suspicion::Wait => {
+                pause = SUSPICION_PAUSE;
+                continue;
+            }
+            Suspicion::Test => Some(Test::new(pool)),
+            Suspicion::Repeat => None,
+        };
+        pool.distrust(sent_at);
+        if !pool.has_room() {
+            // The suspected connection makes room for the fresh one.
+            drop(first);
+            let repeated_at = Instant::now();
+            let outcome = send_again(pool, request).await;
+            // Without the first sending to compare with, a reply that takes as long proves nothing.
+            let is_faster = repeated_at.elapsed() * 2 < repeated_at - sent_at;
+            end_test(test, outcome.is_ok().then_some(is_faster));
+            return outcome;
+        }
+        return first_reply(first, pin!(send_again(pool, request)), test).await;
     }
-    first_reply(first, pin!(send_again(pool, request))).await
 }
 
 async fn send_again(pool: &Arc<Pool>, request: &LeafRequest) -> Outcome {
@@ -94,20 +113,57 @@
 }
 
 /// Waits for the first reply of two sendings, or for the failure of both.
-async fn first_reply<F, S>(mut first: Pin<Box<F>>, mut second: Pin<&mut S>) -> Outcome
+async fn first_reply<F, S>(
+    mut first: Pin<Box<F>>,
+    mut second: Pin<&mut S>,
+    test: Option<Test<'_>>,
+) -> Outcome
 where
     F: Future<Output = Outcome>,
     S: Future<Output = Outcome>,
 {
     select! {
-        outcome = &mut first => match outcome {
-            Ok(exchanged) => Ok(exchanged),
-            Err(_) => second.await,
-        },
-        outcome = &mut second => match outcome {
-            Ok(exchanged) => Ok(exchanged),
-            Err(_) => first.await,
-        },
+        outcome = &mut first => {
+            end_test(test, outcome.is_ok().then_some(false));
+            match outcome {
+                Ok(exchanged) => Ok(exchanged),
+                Err(_) => second.await,
+            }
+        }
+        outcome = &mut second => {
+            end_test(test, outcome.is_ok().then_some(true));
+            match outcome {
+                Ok(exchanged) => Ok(exchanged),
+                Err(_) => first.await,
+            }
+        }
+    }
+}
+
+/// A running test for silence, which says nothing if it is cancelled.
+struct Test<'a> {
+    pool: &'a Pool,
+    is_proved: Option<bool>,
+}
+
+impl<'a> Test<'a> {
+    fn new(pool: &'a Pool) -> Self {
+        Self {
+            pool,
+            is_proved: None,
+        }
+    }
+}
+
+impl Drop for Test<'_> {
+    fn drop(&mut self) {
+        self.pool.on_test_end(self.is_proved);
+    }
+}
+
+fn end_test(test: Option<Test<'_>>, is_proved: Option<bool>) {
+    if let Some(mut test) = test {
+        test.is_proved = is_proved;
     }
 }
 
--- a/crates/process/host/src/relay/pool.rs
+++ b/crates/process/host/src/relay/pool.rs
@@ -10,7 +10,7 @@
     http_body_util::{BodyExt, Full},
     hyper::client::conn::http1::{handshake, SendRequest},
     hyper_util::rt::TokioIo,
-    link::{Checkout, FirstByte, Lease, PoolConfig},
+    link::{Checkout, Lease, PoolConfig, Silence, Suspicion},
     parking_lot::Mutex,
     record::ServerAddr,
     std::{
@@ -52,7 +52,7 @@
 
 struct State {
     pool: link::Pool<Sender>,
-    first_byte: FirstByte,
+    silence: Silence,
 }
 
 /// A connection in use, closed when dropped.
@@ -110,7 +110,7 @@
             addr,
             state: Mutex::new(State {
                 pool: link::Pool::new(config),
-                first_byte: FirstByte::default(),
+                silence: Silence::default(),
             }),
             freed: Notify::new(),
         }
@@ -161,18 +161,19 @@
             if connection.probe().await {
                 return Ok(connection);
             }
-            self.on_suspicion(asked_at);
+            self.distrust(asked_at);
         }
     }
 
     /// Returns the time after which a call on a reused connection is suspected.
     pub(crate) fn suspicion_time(&self, time_left: Duration) -> Duration {
-        self.state.lock().first_byte.suspicion_time(time_left)
+        let state = self.state.lock();
+        state.silence.suspicion_time(time_left, state.pool.out())
     }
 
     /// Takes the time to the first byte of a reply.
     pub(crate) fn on_first_byte(&self, time: Duration) {
-        self.state.lock().first_byte.on_first_byte(time);
+        self.state.lock().silence.on_first_byte(time);
     }
 
     /// Returns whether a further connection fits the share.
@@ -180,10 +181,23 @@
         self.state.lock().pool.has_room()
     }
 
-    /// Takes the suspicion that connections without a byte since `sent_at` have gone silent.
+    /// Decides what a suspected call does that was sent at `sent_at`.
+    pub(crate) fn on_suspicion(&self, sent_at: Instant) -> Suspicion {
+        let mut state = self.state.lock();
+        state.silence.on_suspicion(sent_at, Instant::now())
+    }
+
+    /// Takes the end of a test: whether the fresh connection was answered first.
+    pub(crate) fn on_test_end(&self, is_proved: Option<bool>) {
+        let mut state = self.state.lock();
+        let jitter = rand::random();
+        state.silence.on_test_end(is_proved, jitter, Instant::now());
+    }
+
+    /// Stops handing out connections without a byte since `sent_at`.
     ///
     /// They are probed, and those that answer come back into use.
-    pub(crate) fn on_suspicion(self: &Arc<Self>, sent_at: Instant) {
+    pub(crate) fn distrust(self: &Arc<Self>, sent_at: Instant) {
         let suspected = {
             let pool = &mut self.state.lock().pool;
             pool.on_suspicion(sent_at);
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -20,8 +20,8 @@
     link::Fingerprint,
     meter::LeafLabels,
     plan::{
-        Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFault, Limits, Pin, Reason,
-        RequestId,
+        Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFailure, LeafFault, Limits, Pin,
+        Reason, RequestId,
     },
     serde_json::value::RawValue,
     std::{
@@ -137,7 +137,8 @@
         let asked = Instant::now();
         let canaries = &self.shared.canaries;
         let Ok(cleared) = canaries.clear(self.fingerprint, call.server).await else {
-            return failed(&call, canary::held_back()).1;
+            let failure = failed(&call, canary::held_back());
+            return Event::Failed(call.attempt_id, failure);
         };
         call.time_left = call.time_left.saturating_sub(asked.elapsed());
         let cause = call.cause.as_str();
@@ -150,30 +151,27 @@
             is_repeatable: self.is_repeatable,
         };
         let result = leaf::call(&target, self.request_id, &call, &wire).await;
-        let failure = result.as_ref().err().copied().map(plan::LeafFailure::from);
-        self.tally.add(began.elapsed(), failure.map(|f| f.reason));
         cleared.on_end(result.as_ref().err().copied());
-        let (outcome, event) = match result {
-            Ok(reply) => ("ok", Event::Replied(call.attempt_id, reply)),
-            Err(fault) => failed(&call, fault),
-        };
+        let result = result.map_err(|fault| failed(&call, fault));
+        let latency = began.elapsed();
+        let reason = result.as_ref().err().map(|failure| failure.reason);
+        self.tally.add(latency, reason);
         let labels = LeafLabels {
             service: self.service,
             cause,
-            outcome,
+            outcome: reason.map_or("ok", Reason::as_str),
         };
-        self.shared.metrics.on_leaf_end(labels, began.elapsed());
-        event
+        self.shared.metrics.on_leaf_end(labels, latency);
+        match result {
+            Ok(reply) => Event::Replied(call.attempt_id, reply),
+            Err(failure) => Event::Failed(call.attempt_id, failure),
+        }
     }
 }
 
-fn failed(call: &LeafCall, fault: LeafFault) -> (&'static str, Event<Rows>) {
-    let failure = plan::LeafFailure::from(fault);
+fn failed(call: &LeafCall, fault: LeafFault) -> LeafFailure {
     log::debug!(target: "relay", "Call {} to {} failed: {fault:?}.", call.attempt_id, call.server);
-    (
-        failure.reason.as_str(),
-        Event::Failed(call.attempt_id, failure),
-    )
+    fault.into()
 }
 
 async fn next_event<F>(
