--- a/crates/connection/link/tests/silent_ways.rs
+++ b/crates/connection/link/tests/silent_ways.rs
@@ -255,7 +255,7 @@
         .enable_time()
         .start_paused(true)
         .build()
-        .unwrap();
+        .expect("a runtime starts");
     let world = Rc::new(World {
         way,
         mean_ms,
@@ -306,7 +306,7 @@
     }
     let mut figures = Figures::default();
     for call in sent {
-        let (is_answered, latency) = call.await.unwrap();
+        let (is_answered, latency) = call.await.expect("no call panics");
         figures.asked += 1;
         figures.answered += u32::from(is_answered);
         figures.latencies_ms.push(latency.as_secs_f64() * 1e3);
--- a/crates/process/host/src/relay/canary.rs
+++ b/crates/process/host/src/relay/canary.rs
@@ -1,6 +1,7 @@
 //! The way of a call past the quarantine: pass, go as a canary, wait, or be held back.
 
 use {
+    crate::shared::Shared,
     kind::{Error, Kind, Ran, Result},
     link::{Clearance, Fingerprint, Outcome, Quarantine},
     plan::{LeafFault, Reason, Refusal},
@@ -24,7 +25,7 @@
     fingerprint: Fingerprint,
     server: ServerAddr,
     is_canary: bool,
-    outcome: Outcome,
+    is_ended: bool,
 }
 
 impl Default for Canaries {
@@ -69,7 +70,7 @@
                 fingerprint,
                 server,
                 is_canary,
-                outcome: Outcome::NoVerdict,
+                is_ended: false,
             });
         }
     }
@@ -81,34 +82,36 @@
 }
 
 impl Cleared<'_> {
-    /// Takes the end of the call.
-    pub(crate) fn on_end(mut self, fault: Option<LeafFault>) {
-        self.outcome = match fault {
+    /// Takes the end of the call, and returns whether a quarantine begins.
+    pub(crate) fn on_end(mut self, fault: Option<LeafFault>) -> bool {
+        self.is_ended = true;
+        self.end(match fault {
             None => Outcome::Success,
             Some(LeafFault::LostAfterWrite | LeafFault::LostInReply) => Outcome::Crash,
             Some(_) => Outcome::NoVerdict,
-        };
+        })
     }
-}
 
-impl Drop for Cleared<'_> {
-    fn drop(&mut self) {
+    fn end(&self, outcome: Outcome) -> bool {
         let now = Instant::now();
         let quarantine = &self.canaries.quarantine;
         if !self.is_canary {
-            if self.outcome == Outcome::Crash {
+            if outcome == Outcome::Crash {
                 quarantine.on_crash_in_fan_out(self.fingerprint, self.server, now);
             }
-            return;
-        }
-        if quarantine.on_canary_end(self.fingerprint, self.server, self.outcome, now) {
-            log::warn!(
-                target: "link",
-                "Request {:016x} is held back, it has crashed upstreams.",
-                self.fingerprint
-            );
+            return false;
         }
+        let begins = quarantine.on_canary_end(self.fingerprint, self.server, outcome, now);
         self.canaries.signal(self.fingerprint).notify_waiters();
+        begins
+    }
+}
+
+impl Drop for Cleared<'_> {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.end(Outcome::NoVerdict);
+        }
     }
 }
 
@@ -117,15 +120,23 @@
 /// # Errors
 ///
 /// Returns [`Kind::Quarantined`] with the time that is left.
-pub(crate) fn check(canaries: &Canaries, fingerprint: Fingerprint) -> Result<()> {
-    match canaries.quarantine.held_for(fingerprint, Instant::now()) {
-        None => Ok(()),
-        Some(left) => Err(Error::new(
-            Kind::Quarantined,
-            format!("request {fingerprint:016x} has crashed upstreams and is held back"),
-        )
-        .with_retry_after(left)),
-    }
+pub(crate) fn check(shared: &Shared, fingerprint: Fingerprint) -> Result<()> {
+    let quarantine = &shared.canaries.quarantine;
+    let Some(left) = quarantine.held_for(fingerprint, Instant::now()) else {
+        return Ok(());
+    };
+    shared.metrics.on_event("link", "held-back");
+    let detail = format!("request {fingerprint:016x} has crashed upstreams and is held back");
+    Err(Error::new(Kind::Quarantined, detail).with_retry_after(left))
+}
+
+/// Reports that a fingerprint is held back from now on.
+pub(crate) fn on_quarantine(shared: &Shared, route: &str, fingerprint: Fingerprint) {
+    shared.metrics.on_event("link", "quarantine");
+    log::warn!(
+        target: "link",
+        "Request {fingerprint:016x} on route {route} is held back, it has crashed upstreams."
+    );
 }
 
 /// Returns the fault of a call that is held back.
--- a/crates/process/host/src/relay/exchange.rs
+++ b/crates/process/host/src/relay/exchange.rs
@@ -83,6 +83,7 @@
             Suspicion::Test => Some(Test::new(pool)),
             Suspicion::Repeat => None,
         };
+        pool.on_repeat();
         pool.distrust(sent_at);
         if !pool.has_room() {
             // The suspected connection makes room for the fresh one.
--- a/crates/process/host/src/relay/leaf.rs
+++ b/crates/process/host/src/relay/leaf.rs
@@ -1,14 +1,16 @@
 //! One call to one upstream server over HTTP.
 
 use {
-    crate::relay::{
-        exchange::{exchange, LeafRequest},
-        pool::Pool,
-        upstreams::CallGuard,
+    crate::{
+        relay::{
+            exchange::{exchange, LeafRequest},
+            pool::Pool,
+            upstreams::CallGuard,
+        },
+        shared::Shared,
     },
     http::StatusCode,
     kind::Ran,
-    link::ServerTable,
     plan::{AttemptId, LeafCall, LeafFault, LeafReply, Reason, Refusal, RequestId},
     record::{IndexVersion, ShardId},
     serde::{Deserialize, Serialize},
@@ -22,7 +24,7 @@
 /// Where a call goes.
 pub(crate) struct Target<'a> {
     pub(crate) pool: Arc<Pool>,
-    pub(crate) servers: &'a ServerTable,
+    pub(crate) shared: &'a Shared,
     pub(crate) is_repeatable: bool,
 }
 
@@ -82,7 +84,7 @@
 ) -> Result<Reply, LeafFault> {
     let is_repeatable = target.is_repeatable;
     let request = build_request(call, wire, is_repeatable).ok_or(LeafFault::NotWritten)?;
-    let mut guard = CallGuard::new(target.servers, call.server, is_repeatable);
+    let mut guard = CallGuard::new(target.shared, call.server, is_repeatable);
     let exchanged = exchange(&target.pool, &request)
         .await
         .inspect_err(|fault| guard.on_fault(*fault))?;
--- a/crates/process/host/src/relay/pool.rs
+++ b/crates/process/host/src/relay/pool.rs
@@ -15,7 +15,10 @@
     record::ServerAddr,
     std::{
         collections::{HashMap, HashSet},
-        sync::Arc,
+        sync::{
+            atomic::{AtomicU64, Ordering},
+            Arc,
+        },
         time::{Duration, Instant},
     },
     tokio::{
@@ -41,11 +44,24 @@
 
 /// Pools of all servers.
 #[derive(Default)]
-pub(crate) struct Pools(Mutex<HashMap<ServerAddr, Arc<Pool>>>);
+pub(crate) struct Pools {
+    by_addr: Mutex<HashMap<ServerAddr, Arc<Pool>>>,
+    counts: Arc<Counts>,
+}
+
+/// What has happened to the connections of all pools since the last look.
+#[derive(Default)]
+pub(crate) struct Counts {
+    /// Calls sent again because their connection was suspected.
+    pub(crate) repeated: AtomicU64,
+    /// Connections refused at the limit of their server.
+    pub(crate) refused: AtomicU64,
+}
 
 /// Connections to one server.
 pub(crate) struct Pool {
     addr: ServerAddr,
+    counts: Arc<Counts>,
     state: Mutex<State>,
     freed: Notify,
 }
@@ -78,20 +94,25 @@
 impl Pools {
     /// Returns the pool of a server, which may hold `share` connections.
     pub(crate) fn get(&self, addr: ServerAddr, share: u32) -> Arc<Pool> {
-        let mut pools = self.0.lock();
+        let mut pools = self.by_addr.lock();
         let pool = pools
             .entry(addr)
-            .or_insert_with(|| Arc::new(Pool::new(addr, share)));
+            .or_insert_with(|| Arc::new(Pool::new(addr, share, Arc::clone(&self.counts))));
         pool.state.lock().pool.set_share(share);
         Arc::clone(pool)
     }
 
+    /// Returns what has happened since the last look.
+    pub(crate) fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
     /// Closes what has been idle for long and opens what is wanted ahead of need.
     ///
     /// Pools of servers that are not `in_use` any more are dropped, which
     /// closes their idle connections; calls in flight keep theirs.
     pub(crate) fn upkeep(&self, in_use: &HashSet<ServerAddr>) {
-        let mut pools = self.0.lock();
+        let mut pools = self.by_addr.lock();
         pools.retain(|addr, _| in_use.contains(addr));
         for pool in pools.values() {
             pool.upkeep();
@@ -100,7 +121,7 @@
 }
 
 impl Pool {
-    fn new(addr: ServerAddr, share: u32) -> Self {
+    fn new(addr: ServerAddr, share: u32, counts: Arc<Counts>) -> Self {
         let config = PoolConfig {
             share,
             warm: WARM_CONNECTIONS,
@@ -108,6 +129,7 @@
         };
         Self {
             addr,
+            counts,
             state: Mutex::new(State {
                 pool: link::Pool::new(config),
                 silence: Silence::default(),
@@ -194,6 +216,11 @@
         state.silence.on_test_end(is_proved, jitter, Instant::now());
     }
 
+    /// Counts a call that is sent again.
+    pub(crate) fn on_repeat(&self) {
+        self.counts.repeated.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Stops handing out connections without a byte since `sent_at`.
     ///
     /// They are probed, and those that answer come back into use.
@@ -257,6 +284,7 @@
         opening.0 = None;
         let now = Instant::now();
         if !is_accepted {
+            self.counts.refused.fetch_add(1, Ordering::Relaxed);
             let pool = &mut self.state.lock().pool;
             pool.on_refused(rand::random(), now);
             return Err(CheckoutError::AtLimit);
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -57,12 +57,13 @@
         is_repeatable: route.repeatable,
     };
     let fingerprint = link::fingerprint(&route.name, call.query.get());
-    canary::check(&shared.canaries, fingerprint)?;
+    canary::check(shared, fingerprint)?;
     let place = gate::admit(shared, &service, &call, limits.deadline).await?;
     let run = Run {
         shared,
         tally: Tally::default(),
         service: &service.name,
+        route: &route.name,
         request_id,
         wire_request_id: &call.request_id,
         query: &call.query,
@@ -87,6 +88,7 @@
     shared: &'a Shared,
     tally: Tally,
     service: &'a str,
+    route: &'a str,
     request_id: RequestId,
     wire_request_id: &'a str,
     query: &'a RawValue,
@@ -147,11 +149,13 @@
         let wire = leaf::WireCall::new(self.wire_request_id, &call, self.query);
         let target = Target {
             pool: self.shared.pools.get(call.server, self.share),
-            servers: &self.shared.servers,
+            shared: self.shared,
             is_repeatable: self.is_repeatable,
         };
         let result = leaf::call(&target, self.request_id, &call, &wire).await;
-        cleared.on_end(result.as_ref().err().copied());
+        if cleared.on_end(result.as_ref().err().copied()) {
+            canary::on_quarantine(self.shared, self.route, self.fingerprint);
+        }
         let result = result.map_err(|fault| failed(&call, fault));
         let latency = began.elapsed();
         let reason = result.as_ref().err().map(|failure| failure.reason);
--- a/crates/process/host/src/relay/upkeep.rs
+++ b/crates/process/host/src/relay/upkeep.rs
@@ -1,13 +1,13 @@
 //! Upkeep of connections: shares, warm-up, idle ones, and servers that left all records.
 
 use {
-    crate::shared::Shared,
+    crate::{relay::upstreams::on_drain, shared::Shared},
     fleet::relay_set,
     link::{connection_share, DrainSign},
     record::{ServerAddr, Service},
     std::{
         collections::HashSet,
-        sync::Arc,
+        sync::{atomic::Ordering, Arc},
         time::{Duration, Instant},
     },
     store::{ListedHost, Role},
@@ -24,6 +24,7 @@
         let in_use = servers_in_use(&shared);
         shared.pools.upkeep(&in_use);
         shared.servers.retain(&in_use);
+        publish_counts(&shared);
         select! {
             // The sender lives in `shared`, so the wait ends only by a change.
             _ = config.changed() => {}
@@ -32,15 +33,23 @@
     }
 }
 
+fn publish_counts(shared: &Shared) {
+    let counts = shared.pools.counts();
+    for (event, count) in [("repeat", &counts.repeated), ("at-limit", &counts.refused)] {
+        for _ in 0..count.swap(0, Ordering::Relaxed) {
+            shared.metrics.on_event("link", event);
+        }
+    }
+}
+
 /// Takes what the platform's list says about upstreams.
 pub(crate) fn on_list(shared: &Shared, listed: &[ListedHost]) {
     let now = Instant::now();
     for host in listed.iter().filter(|host| host.role == Role::Upstream) {
         if !host.leaving {
             shared.servers.on_listed_as_staying(host.addr, now);
-        } else if shared.servers.on_drain(host.addr, DrainSign::Listed, now) {
-            log::info!(target: "link", "Upstream {} is leaving.", host.addr);
-            shared.metrics.on_event("link", "drain");
+        } else {
+            on_drain(shared, host.addr, DrainSign::Listed);
         }
     }
 }
--- a/crates/process/host/src/relay/upstreams.rs
+++ b/crates/process/host/src/relay/upstreams.rs
@@ -1,8 +1,8 @@
 //! What the calls of this host have found about upstreams, as a query asks for it.
 
 use {
-    crate::relay::exchange::Exchanged,
-    link::{Evidence, Refusal, ServerTable},
+    crate::{relay::exchange::Exchanged, shared::Shared},
+    link::{DrainSign, Evidence, Refusal, ServerTable},
     plan::{LeafFault, Reason, Upstreams},
     record::{ServerAddr, Shard},
     std::time::Instant,
@@ -31,7 +31,7 @@
 
 /// One call in flight; its end becomes evidence about its server.
 pub(crate) struct CallGuard<'a> {
-    table: &'a ServerTable,
+    shared: &'a Shared,
     server: ServerAddr,
     is_repeatable: bool,
     began: Instant,
@@ -39,11 +39,11 @@
 }
 
 impl<'a> CallGuard<'a> {
-    pub(crate) fn new(table: &'a ServerTable, server: ServerAddr, is_repeatable: bool) -> Self {
+    pub(crate) fn new(shared: &'a Shared, server: ServerAddr, is_repeatable: bool) -> Self {
         let began = Instant::now();
-        table.on_begin(server, began);
+        shared.servers.on_begin(server, began);
         Self {
-            table,
+            shared,
             server,
             is_repeatable,
             began,
@@ -53,8 +53,15 @@
 
     /// Takes a reply or a refusal with what the server said about itself.
     pub(crate) fn on_exchanged(&mut self, exchanged: &Exchanged, fault: Option<LeafFault>) {
-        let now = Instant::now();
-        self.table.on_stated(self.server, exchanged.stated, now);
+        let is_refusal = matches!(
+            fault,
+            Some(LeafFault::Refused(refusal)) if refusal.reason == Reason::Draining
+        );
+        if is_refusal || exchanged.stated.is_draining {
+            on_drain(self.shared, self.server, DrainSign::Own);
+        }
+        let servers = &self.shared.servers;
+        servers.on_stated(self.server, exchanged.stated, Instant::now());
         self.evidence = Some(match fault {
             None => Evidence::Replied(exchanged.first_byte),
             Some(fault) => evidence_of(fault),
@@ -76,8 +83,16 @@
             // It may have been sent on a connection gone silent, which is no fault of the server.
             Evidence::Nothing
         });
-        self.table
-            .on_end(self.server, evidence, rand::random(), now);
+        let servers = &self.shared.servers;
+        servers.on_end(self.server, evidence, rand::random(), now);
+    }
+}
+
+/// Takes a sign that a server drains.
+pub(crate) fn on_drain(shared: &Shared, server: ServerAddr, sign: DrainSign) {
+    if shared.servers.on_drain(server, sign, Instant::now()) {
+        log::info!(target: "link", "Upstream {server} drains, first sign: {sign:?}.");
+        shared.metrics.on_event("link", "drain");
     }
 }
 
