--- a/crates/process/host/examples/cost.rs
+++ b/crates/process/host/examples/cost.rs
@@ -7,7 +7,7 @@
 //! Run it in release mode, after `cargo build --release --bins --examples`.
 
 use {
-    anyhow::{Context, Result},
+    anyhow::Result,
     fakes::{
         process::{Layout, Path},
         upstream::Behaviour,
@@ -20,12 +20,12 @@
         client::legacy::{connect::HttpConnector, Client},
         rt::TokioExecutor,
     },
-    nix::{
-        sys::resource::{getrusage, UsageWho},
-        unistd::{sysconf, SysconfVar},
+    nix::sys::{
+        resource::{getrusage, UsageWho},
+        time::TimeVal,
     },
     serde_json::{json, Value},
-    std::{fs, net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, time::Duration},
 };
 
 const SHARDS: usize = 50;
@@ -60,17 +60,17 @@
 }
 
 async fn tier_time(path: &Path) -> Result<Duration> {
-    let pid = path.hosts[0].process.pid();
+    let host = &path.hosts[0].process;
     let send = || path.query(0, "shortfall", &[], QUERY);
     for _ in 0..WARM_UP_QUERIES {
         send().await?;
     }
-    let before = process_time(pid)?;
+    let before = host.processor_time()?;
     for _ in 0..QUERIES {
         let answer = send().await?;
         anyhow::ensure!(answer.status.is_success(), "{}", answer.text);
     }
-    Ok(process_time(pid)? - before)
+    Ok(host.processor_time()? - before)
 }
 
 async fn bare_time(path: &Path) -> Result<Duration> {
@@ -110,24 +110,9 @@
     Ok(serde_json::from_slice(&bytes)?)
 }
 
-/// Returns the processor time of another process, from its status in `/proc`.
-fn process_time(pid: u32) -> Result<Duration> {
-    let text = fs::read_to_string(format!("/proc/{pid}/stat"))?;
-    // The name in parentheses may hold spaces, so counting starts behind it.
-    let (_, fields) = text.rsplit_once(')').context("malformed status")?;
-    let ticks: u64 = fields
-        .split_whitespace()
-        .skip(11)
-        .take(2)
-        .filter_map(|field| field.parse::<u64>().ok())
-        .sum();
-    let per_second = sysconf(SysconfVar::CLK_TCK)?.context("no clock tick")?;
-    Ok(Duration::from_secs_f64(ticks as f64 / per_second as f64))
-}
-
 fn own_time() -> Result<Duration> {
     let usage = getrusage(UsageWho::RUSAGE_SELF)?;
-    let micros = |time: nix::sys::time::TimeVal| {
+    let micros = |time: TimeVal| {
         Duration::from_secs(time.tv_sec().unsigned_abs())
             + Duration::from_micros(time.tv_usec().unsigned_abs())
     };
--- a/crates/test/fakes/src/process.rs
+++ b/crates/test/fakes/src/process.rs
@@ -11,9 +11,10 @@
     },
     anyhow::{bail, ensure, Context, Result},
     http::Method,
+    nix::unistd::{sysconf, SysconfVar},
     serde_json::json,
     std::{
-        env,
+        env, fs,
         net::{Ipv4Addr, SocketAddr, TcpListener},
         path::PathBuf,
         process::{Child, Command, Stdio},
@@ -30,6 +31,8 @@
 /// Ports of the fixture lie below those that the system gives out by itself.
 const FIRST_PORT: u32 = 12_000;
 const PORT_COUNT: u32 = 20_000;
+/// Place of the user time behind the name in `/proc/<pid>/stat`; the system time follows.
+const PROCESSOR_TIME_FIELD: usize = 11;
 /// Pause between two looks at something awaited.
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 /// Number of looks before something awaited counts as missing.
@@ -74,6 +77,41 @@
             .is_some_and(|status| status.success()))
     }
 
+    /// Returns the processor time that the process has used.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn processor_time(&self) -> Result<Duration> {
+        let text = fs::read_to_string(format!("/proc/{}/stat", self.pid()))?;
+        // The name in parentheses may hold spaces, so counting starts behind it.
+        let (_, fields) = text.rsplit_once(')').context("malformed status")?;
+        let ticks: u64 = fields
+            .split_whitespace()
+            .skip(PROCESSOR_TIME_FIELD)
+            .take(2)
+            .filter_map(|field| field.parse::<u64>().ok())
+            .sum();
+        let ticks_per_s = sysconf(SysconfVar::CLK_TCK)?.context("no clock tick")?;
+        Ok(Duration::from_secs_f64(ticks as f64 / ticks_per_s as f64))
+    }
+
+    /// Returns the resident memory of the process, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn resident_bytes(&self) -> Result<u64> {
+        let text = fs::read_to_string(format!("/proc/{}/statm", self.pid()))?;
+        let pages: u64 = text
+            .split_whitespace()
+            .nth(1)
+            .context("malformed memory status")?
+            .parse()?;
+        let page_bytes = sysconf(SysconfVar::PAGE_SIZE)?.context("no page size")?;
+        Ok(pages * page_bytes.unsigned_abs())
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         // Killing a process that has ended fails, and nothing is owed then.
