--- a/crates/process/host/src/members.rs
+++ b/crates/process/host/src/members.rs
@@ -1,7 +1,7 @@
 //! Hosts of the tier, taken from the platform's list.
 
 use {
-    crate::shared::Shared,
+    crate::{relay, shared::Shared},
     fleet::Member,
     parking_lot::RwLock,
     std::{sync::Arc, time::Duration},
@@ -34,7 +34,10 @@
 pub(crate) async fn follow_list(shared: Arc<Shared>) {
     loop {
         match shared.platform.hosts().await {
-            Ok(listed) => shared.members.replace(members_of(&shared, &listed)),
+            Ok(listed) => {
+                relay::on_list(&shared, &listed);
+                shared.members.replace(members_of(&shared, &listed));
+            }
             Err(fault) => log::warn!(target: "members", "List not read: {fault:?}."),
         }
         sleep(LIST_PAUSE).await;
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -3,8 +3,11 @@
 use {
     crate::{
         relay::{
+            canary,
             gate::{self, Tally},
-            leaf,
+            leaf::{self, Target},
+            upkeep,
+            upstreams::Picker,
         },
         shared::Shared,
     },
@@ -14,12 +17,12 @@
         stream::{FuturesUnordered, StreamExt},
     },
     kind::{Error, Kind, Result},
+    link::Fingerprint,
     meter::LeafLabels,
     plan::{
         Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFailure, LeafFault, Limits, Pin,
-        Reason, RequestId, Upstreams,
+        Reason, RequestId,
     },
-    record::{ServerAddr, Shard},
     serde_json::value::RawValue,
     std::{
         collections::HashMap,
@@ -53,6 +56,8 @@
         deadline: now + Duration::from_millis(call.time_left_ms),
         is_repeatable: route.repeatable,
     };
+    let fingerprint = link::fingerprint(&route.name, call.query.get());
+    canary::check(&shared.canaries, fingerprint)?;
     let place = gate::admit(shared, &service, &call, limits.deadline).await?;
     let run = Run {
         shared,
@@ -61,7 +66,9 @@
         request_id,
         wire_request_id: &call.request_id,
         query: &call.query,
-        connection_limit: service.connection_limit,
+        share: upkeep::share_of(shared, &service),
+        is_repeatable: route.repeatable,
+        fingerprint,
     };
     let gather = Gather::new(request_id, pin, limits)
         .with_coverage(route.coverage)
@@ -83,27 +90,17 @@
     request_id: RequestId,
     wire_request_id: &'a str,
     query: &'a RawValue,
-    connection_limit: u32,
-}
-
-/// Picks servers in the order of the record.
-struct InOrder;
-
-impl Upstreams for InOrder {
-    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], _: Instant) -> Option<ServerAddr> {
-        let mut servers = shard.servers.iter().map(|server| server.addr);
-        servers
-            .clone()
-            .find(|s| !tried.contains(s))
-            .or_else(|| servers.next())
-    }
+    share: u32,
+    is_repeatable: bool,
+    fingerprint: Fingerprint,
 }
 
 impl Run<'_> {
     async fn drive(&self, mut gather: Gather<Rows>) -> Answer<Rows> {
         let mut calls = FuturesUnordered::new();
         let mut handles: HashMap<AttemptId, AbortHandle> = HashMap::new();
-        let mut actions = gather.start(&mut InOrder, Instant::now());
+        let mut upstreams = Picker(&self.shared.servers);
+        let mut actions = gather.start(&mut upstreams, Instant::now());
         loop {
             for action in actions {
                 match action {
@@ -122,7 +119,7 @@
             }
             let event = next_event(&mut calls, gather.next_wake()).await;
             self.offer_newest_record(&event, &mut gather);
-            actions = gather.on_event(event, &mut InOrder, Instant::now());
+            actions = gather.on_event(event, &mut upstreams, Instant::now());
         }
     }
 
@@ -136,15 +133,26 @@
         }
     }
 
-    async fn make_call(&self, call: LeafCall) -> Event<Rows> {
+    async fn make_call(&self, mut call: LeafCall) -> Event<Rows> {
+        let asked = Instant::now();
+        let canaries = &self.shared.canaries;
+        let Ok(cleared) = canaries.clear(self.fingerprint, call.server).await else {
+            let failure = failed(&call, canary::held_back());
+            return Event::Failed(call.attempt_id, failure);
+        };
+        call.time_left = call.time_left.saturating_sub(asked.elapsed());
         let cause = call.cause.as_str();
         self.shared.metrics.on_leaf_call(self.service, cause);
         let began = Instant::now();
         let wire = leaf::WireCall::new(self.wire_request_id, &call, self.query);
-        let pool = self.shared.pools.get(call.server, self.connection_limit);
-        let result = leaf::call(&pool, self.request_id, &call, &wire)
-            .await
-            .map_err(|fault| failed(&call, fault));
+        let target = Target {
+            pool: self.shared.pools.get(call.server, self.share),
+            servers: &self.shared.servers,
+            is_repeatable: self.is_repeatable,
+        };
+        let result = leaf::call(&target, self.request_id, &call, &wire).await;
+        cleared.on_end(result.as_ref().err().copied());
+        let result = result.map_err(|fault| failed(&call, fault));
         let latency = began.elapsed();
         let reason = result.as_ref().err().map(|failure| failure.reason);
         self.tally.add(latency, reason);
--- a/crates/test/fakes/src/process.rs
+++ b/crates/test/fakes/src/process.rs
@@ -324,6 +324,23 @@
     ///
     /// Returns an error if the platform does not answer.
     pub async fn publish_hosts(&self) -> Result<()> {
+        self.publish_leaving(&[]).await
+    }
+
+    /// Publishes the present hosts and upstreams that are leaving.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer.
+    pub async fn publish_leaving(&self, upstreams: &[SocketAddr]) -> Result<()> {
+        let leaving = upstreams.iter().map(|addr| ListedHost {
+            role: Role::Upstream,
+            id: format!("upstream-{}", addr.port()),
+            addr: *addr,
+            region: "region-0".to_owned(),
+            zone: "zone-0".to_owned(),
+            leaving: true,
+        });
         let hosts: Vec<_> = self
             .hosts
             .iter()
@@ -335,6 +352,7 @@
                 zone: host.zone.clone(),
                 leaving: false,
             })
+            .chain(leaving)
             .collect();
         let body = serde_json::to_string(&hosts)?;
         self.control(self.platform_addr, "/fake/hosts", body).await
@@ -372,6 +390,16 @@
         self.control(self.control_addr, &path, body).await
     }
 
+    /// Silences the connections that the upstreams hold now; later ones work.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the upstreams do not answer.
+    pub async fn silence_open_connections(&self) -> Result<()> {
+        self.control(self.control_addr, "/fake/silence", String::new())
+            .await
+    }
+
     /// Returns what the upstreams have seen.
     ///
     /// # Errors
