--- a/crates/bin/wharfctl/src/api.rs
+++ b/crates/bin/wharfctl/src/api.rs
@@ -1,15 +1,16 @@
 //! Calls to the HTTP interfaces of a host.
 
 use {
-    anyhow::{bail, Context, Result},
+    anyhow::{anyhow, Context, Error, Result},
     clap::ArgMatches,
-    http::{header, request::Builder, Method, Request},
+    http::{header, request::Builder, Method, Request, StatusCode},
     http_body_util::{BodyExt, Full},
     hyper::body::Bytes,
     hyper_util::{
         client::legacy::{connect::HttpConnector, Client},
         rt::TokioExecutor,
     },
+    serde::Deserialize,
 };
 
 /// Client of the administration API of one host.
@@ -35,13 +36,76 @@
         })
     }
 
-    /// Calls the administration API and returns the body of its answer.
-    pub(crate) async fn call(&self, method: Method, path: &str, body: String) -> Result<String> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.addr))
+    /// Calls the administration API and returns its answer, also a refusal.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer.
+    pub(crate) async fn send(&self, call: &Call) -> Result<Reply> {
+        let mut request = Request::builder()
+            .method(&call.method)
+            .uri(format!("http://{}{}", self.addr, call.path))
             .header(header::AUTHORIZATION, format!("Bearer {}", self.token));
-        send(&self.client, request, body).await
+        for (name, value) in &call.headers {
+            request = request.header(*name, value);
+        }
+        exchange(&self.client, request, call.body.clone()).await
+    }
+}
+
+/// One call to the administration API.
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) body: String,
+    pub(crate) headers: Vec<(&'static str, String)>,
+}
+
+impl Call {
+    /// Creates a read.
+    pub(crate) fn get(path: String) -> Self {
+        Self {
+            method: Method::GET,
+            path,
+            body: String::new(),
+            headers: Vec::new(),
+        }
+    }
+}
+
+/// An answer, which may be a refusal.
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) text: String,
+}
+
+/// A problem document, as far as people read it.
+#[derive(Deserialize)]
+struct Problem {
+    title: String,
+    detail: String,
+    kind: String,
+}
+
+impl Reply {
+    /// Returns the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, if it is one.
+    pub(crate) fn success(self) -> Result<String> {
+        if self.status.is_success() {
+            return Ok(self.text);
+        }
+        Err(self.error())
+    }
+
+    /// Returns the refusal as an error for people.
+    pub(crate) fn error(&self) -> Error {
+        match serde_json::from_str::<Problem>(&self.text) {
+            Ok(problem) => anyhow!("{}: {} ({})", problem.title, problem.detail, problem.kind),
+            Err(_) => anyhow!("{}: {}", self.status, self.text),
+        }
     }
 }
 
@@ -55,6 +119,14 @@
     request: Builder,
     body: String,
 ) -> Result<String> {
+    exchange(client, request, body).await?.success()
+}
+
+async fn exchange(
+    client: &Client<HttpConnector, Full<Bytes>>,
+    request: Builder,
+    body: String,
+) -> Result<Reply> {
     let request = request.body(Full::new(Bytes::from(body)))?;
     let uri = request.uri().clone();
     let response = client
@@ -64,8 +136,5 @@
     let status = response.status();
     let bytes = response.into_body().collect().await?.to_bytes();
     let text = String::from_utf8_lossy(&bytes).into_owned();
-    if !status.is_success() {
-        bail!("{status}: {text}");
-    }
-    Ok(text)
+    Ok(Reply { status, text })
 }
--- a/crates/bin/wharfctl/src/command.rs
+++ b/crates/bin/wharfctl/src/command.rs
@@ -1,6 +1,7 @@
 //! The definition of the command line.
 
 use {
+    crate::record_command,
     clap::{value_parser, Arg, ArgAction, Command},
     std::net::SocketAddr,
 };
@@ -29,34 +30,19 @@
                 .global(true)
                 .help("Bearer token of the administration API"),
         )
-        .subcommand(check())
-        .subcommand(put())
-        .subcommand(Command::new("records").about("Lists the records in force"))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .global(true)
+                .help("Prints answers as JSON in place of tables"),
+        )
+        .subcommands(record_command::commands())
         .subcommand(Command::new("fleet").about("Shows the fleet as one host knows it"))
         .subcommand(query())
         .subcommand(load())
 }
 
-fn files() -> Arg {
-    Arg::new("file")
-        .required(true)
-        .action(ArgAction::Append)
-        .num_args(1..)
-        .help("Record files in TOML")
-}
-
-fn check() -> Command {
-    Command::new("check")
-        .about("Checks record files; needs no server")
-        .arg(files())
-}
-
-fn put() -> Command {
-    Command::new("put")
-        .about("Commits record files, one after the other")
-        .arg(files())
-}
-
 fn query() -> Command {
     Command::new("query")
         .about("Sends one query and prints the answer")
--- a/crates/bin/wharfctl/src/main.rs
+++ b/crates/bin/wharfctl/src/main.rs
@@ -1,11 +1,15 @@
 //! The operators' command line.
 
 mod api;
+mod change;
 mod check;
 mod command;
+mod in_force;
 mod load;
 mod query;
+mod record_command;
 mod records;
+mod table;
 
 use anyhow::Result;
 
@@ -14,7 +18,14 @@
     let matches = command::command().get_matches();
     match matches.subcommand() {
         Some(("check", matches)) => check::run(matches),
-        Some(("put", matches)) => records::put(matches).await,
+        Some(("diff", matches)) => records::diff(matches).await,
+        Some(("put", matches)) => change::put(matches).await,
+        Some(("retire", matches)) => change::retire(matches).await,
+        Some(("rollback", matches)) => change::roll_back(matches).await,
+        Some(("recover", matches)) => change::recover(matches).await,
+        Some(("history", matches)) => records::history(matches).await,
+        Some(("in-force", matches)) => in_force::show(matches).await,
+        Some(("explain", matches)) => records::explain(matches).await,
         Some(("records", matches)) => records::list(matches).await,
         Some(("fleet", matches)) => records::fleet(matches).await,
         Some(("query", matches)) => query::run(matches).await,
--- a/crates/process/fleet/src/lib.rs
+++ b/crates/process/fleet/src/lib.rs
@@ -10,7 +10,7 @@
     member::Member,
     relay_set::relay_set,
     wire::{
-        Peer, PeerClient, PeerRequest, PeerResponse, QueryAnswer, QueryCall, WireRows,
+        Held, Peer, PeerClient, PeerRequest, PeerResponse, QueryAnswer, QueryCall, WireRows,
         PROTOCOL_VERSION,
     },
 };
--- a/crates/process/fleet/src/wire.rs
+++ b/crates/process/fleet/src/wire.rs
@@ -7,7 +7,9 @@
 use {
     kind::{Ran, Result},
     plan::{Answer, CoverageReport, ShardRows},
-    record::{IndexVersion, Rank, RecordVersion, Revision, ShardId, TenantId},
+    record::{
+        HeadId, HostId, IndexVersion, Rank, RecordVersion, Revision, ShardId, TenantId, WireBundle,
+    },
     serde::{Deserialize, Serialize},
     serde_json::value::RawValue,
 };
@@ -85,9 +87,24 @@
     }
 }
 
+/// What a host holds in force.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Held {
+    /// Name of the host.
+    pub host: HostId,
+    /// Head in force.
+    pub head: HeadId,
+    /// Records in force, if they are newer than what the asker holds.
+    #[serde(default)]
+    pub bundle: Option<WireBundle>,
+}
+
 /// The service that every host offers its peers.
 #[tarpc::service]
 pub trait Peer {
     /// Runs a query as its relay.
     async fn query(call: QueryCall) -> Result<QueryAnswer>;
+
+    /// States what the host holds in force, with the records if they are newer than `revision`.
+    async fn held(revision: Revision) -> Held;
 }
--- a/crates/process/host/src/admin/mod.rs
+++ b/crates/process/host/src/admin/mod.rs
@@ -1,6 +1,9 @@
 //! The administration API.
 
 mod auth;
+mod explain;
+mod headers;
+mod in_force;
 mod records;
 
 use {
@@ -11,7 +14,7 @@
     axum::{
         extract::{DefaultBodyLimit, State},
         middleware,
-        routing::{get, put},
+        routing::{get, post},
         Json, Router,
     },
     fleet::Member,
@@ -25,7 +28,26 @@
 pub(crate) fn router(shared: Arc<Shared>) -> Router {
     let guarded = Router::new()
         .route("/v1/admin/records", get(records::list))
-        .route("/v1/admin/records/{name}/{version}", put(records::put))
+        .route(
+            "/v1/admin/records/{name}/{version}",
+            get(records::get).put(records::put).delete(records::retire),
+        )
+        .route(
+            "/v1/admin/records/{name}/{version}/history",
+            get(records::record_history),
+        )
+        .route(
+            "/v1/admin/records/{name}/{version}/rollback",
+            post(records::roll_back),
+        )
+        .route(
+            "/v1/admin/records/{name}/{version}/in-force",
+            get(in_force::get),
+        )
+        .route("/v1/admin/in-force", get(in_force::get_revision))
+        .route("/v1/admin/history", get(records::history))
+        .route("/v1/admin/recover", post(records::recover))
+        .route("/v1/admin/explain/{route}", get(explain::get))
         .route("/v1/admin/fleet", get(fleet))
         .layer(DefaultBodyLimit::max(MAX_RECORD_BYTES * 2))
         .layer(middleware::from_fn_with_state(
--- a/crates/process/host/src/admin/records.rs
+++ b/crates/process/host/src/admin/records.rs
@@ -1,34 +1,103 @@
 //! Records over the administration API.
 
 use {
-    crate::{entry::Problem, shared::Shared},
+    crate::{
+        admin::headers::{head_tag, precondition, record_tag, stamp},
+        config,
+        entry::Problem,
+        shared::Shared,
+    },
     axum::{
-        extract::{Path, State},
+        extract::{Path, Query, State},
+        http::HeaderMap,
+        response::{IntoResponse, Response},
         Json,
     },
-    kind::{Error, Kind},
-    record::{Head, RawRecord, RecordVersion, Revision},
-    serde::Serialize,
+    http::header,
+    kind::{Error, Kind, Result},
+    record::{
+        Change, Head, HeadEntry, HeadId, Operation, OperationId, RawRecord, RecordId, RecordKind,
+        RecordVersion, Revision, Stamp,
+    },
+    serde::{Deserialize, Serialize},
+    serde_json::value::RawValue,
     std::sync::Arc,
-    store::{commit_record, load_head},
+    store::{
+        body_key_at, commit, load_body, load_head, load_history, Commit, Committed, MAX_HISTORY,
+    },
 };
 
+/// An accepted change. Whether it is in force everywhere is a fact of its own.
 #[derive(Serialize)]
 pub(crate) struct Accepted {
     accepted: bool,
     revision: Revision,
+    operation_id: OperationId,
+    is_repeat: bool,
+}
+
+/// Narrows a name and version down to one record.
+#[derive(Deserialize)]
+pub(crate) struct KindQuery {
+    kind: Option<RecordKind>,
+}
+
+/// What to roll back to.
+#[derive(Deserialize)]
+pub(crate) struct RollBackQuery {
+    kind: Option<RecordKind>,
+    to_revision: Revision,
+}
+
+/// How far back a history goes.
+#[derive(Deserialize)]
+pub(crate) struct HistoryQuery {
+    limit: Option<u64>,
+}
+
+#[derive(Serialize)]
+pub(crate) struct RecordStated {
+    #[serde(flatten)]
+    id: RecordId,
+    revision: Revision,
+    record: Box<RawValue>,
 }
 
+/// Path of a record.
+type RecordPath = Path<(String, RecordVersion)>;
+
 /// Lists the records of the newest head.
-pub(crate) async fn list(State(shared): State<Arc<Shared>>) -> Result<Json<Head>, Problem> {
+pub(crate) async fn list(State(shared): State<Arc<Shared>>) -> Result<Response, Problem> {
     let (head, _) = load_head(&shared.platform).await?;
-    Ok(Json(head))
+    let tag = head_tag(head.revision);
+    Ok(([(header::ETAG, tag)], Json(head)).into_response())
+}
+
+/// Shows one record of the newest head.
+pub(crate) async fn get(
+    State(shared): State<Arc<Shared>>,
+    Path((name, version)): RecordPath,
+    Query(query): Query<KindQuery>,
+) -> Result<Response, Problem> {
+    let (head, _) = load_head(&shared.platform).await?;
+    let entry = find(&head, &name, version, query.kind)?;
+    let text = load_body(&shared.platform, &entry.body_key).await?;
+    let record = RawValue::from_string(text.to_string())
+        .map_err(|e| Error::new(Kind::BadRecord, e.to_string()))?;
+    let tag = record_tag(entry.revision);
+    let stated = RecordStated {
+        id: entry.id.clone(),
+        revision: entry.revision,
+        record,
+    };
+    Ok(([(header::ETAG, tag)], Json(stated)).into_response())
 }
 
 /// Commits a record.
 pub(crate) async fn put(
     State(shared): State<Arc<Shared>>,
-    Path((name, version)): Path<(String, RecordVersion)>,
+    Path((name, version)): RecordPath,
+    headers: HeaderMap,
     body: String,
 ) -> Result<Json<Accepted>, Problem> {
     let raw = RawRecord::from_json(&body)?;
@@ -38,11 +107,188 @@
             format!("name: the path names {name}/{version}"),
         )));
     }
-    let operation_id = format!("{:032x}", rand::random::<u128>());
-    let revision = commit_record(&shared.platform, &raw, &operation_id).await?;
-    log::info!(target: "audit", "Record {name}/{version} committed as revision {revision}.");
+    let change = Commit::put(&raw, stamp(&headers)?)?;
+    run(&shared, &headers, change).await
+}
+
+/// Takes a record out of force.
+pub(crate) async fn retire(
+    State(shared): State<Arc<Shared>>,
+    Path((name, version)): RecordPath,
+    Query(query): Query<KindQuery>,
+    headers: HeaderMap,
+) -> Result<Json<Accepted>, Problem> {
+    let id = known_id(&shared, &name, version, query.kind).await?;
+    let change = Commit::new(Change::Retire { id }, stamp(&headers)?);
+    run(&shared, &headers, change).await
+}
+
+/// Brings an earlier body of a record into force again, as a new revision.
+pub(crate) async fn roll_back(
+    State(shared): State<Arc<Shared>>,
+    Path((name, version)): RecordPath,
+    Query(query): Query<RollBackQuery>,
+    headers: HeaderMap,
+) -> Result<Json<Accepted>, Problem> {
+    let id = known_id(&shared, &name, version, query.kind).await?;
+    let body_key = body_key_at(&shared.platform, &id, query.to_revision).await?;
+    let change = Commit::new(Change::RollBack { id, body_key }, stamp(&headers)?);
+    run(&shared, &headers, change).await
+}
+
+/// Gives the store back what this host holds in force.
+pub(crate) async fn recover(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+) -> Result<Json<Accepted>, Problem> {
+    let held = shared.in_force();
+    let (head, _) = load_head(&shared.platform).await?;
+    if head.id() == held.head().id() {
+        return Err(Problem(Error::new(
+            Kind::Conflict,
+            "the store shows what this host holds, nothing is to be recovered",
+        )));
+    }
+    if let Some(peer) = newest_peer(&shared, held.revision()).await {
+        return Err(Problem(Error::new(
+            Kind::Conflict,
+            format!("host {} holds revision {}, recover there", peer.0, peer.1),
+        )));
+    }
+    let change = Commit::recover(held.bundle(), stamp(&headers)?);
+    run(&shared, &headers, change).await
+}
+
+/// Lists the last operations, the newest first.
+pub(crate) async fn history(
+    State(shared): State<Arc<Shared>>,
+    Query(query): Query<HistoryQuery>,
+) -> Result<Json<Vec<Operation>>, Problem> {
+    let limit = query.limit.unwrap_or(MAX_HISTORY);
+    Ok(Json(load_history(&shared.platform, limit).await?))
+}
+
+/// Lists the last operations on one record, the newest first.
+pub(crate) async fn record_history(
+    State(shared): State<Arc<Shared>>,
+    Path((name, version)): RecordPath,
+    Query(query): Query<HistoryQuery>,
+) -> Result<Json<Vec<Operation>>, Problem> {
+    let limit = query.limit.unwrap_or(MAX_HISTORY);
+    let mut found = load_history(&shared.platform, limit).await?;
+    found.retain(|operation| {
+        let subject = operation.subject.as_ref();
+        subject.is_some_and(|id| id.name == name && id.version == version)
+    });
+    Ok(Json(found))
+}
+
+async fn run(
+    shared: &Shared,
+    headers: &HeaderMap,
+    change: Commit,
+) -> Result<Json<Accepted>, Problem> {
+    let held: HeadId = shared.in_force().head().id();
+    let change = change
+        .with_precondition(precondition(headers)?)
+        .with_held(held);
+    let stamp = change.stamp().clone();
+    let what = change.change().to_string();
+    let result = commit(&shared.platform, change).await;
+    audit(shared, &stamp, &what, &result);
+    if result
+        .as_ref()
+        .is_err_and(|e| e.kind() == Kind::StoreReverted)
+    {
+        config::check_store(shared).await;
+    }
+    let committed = result?;
     Ok(Json(Accepted {
         accepted: true,
-        revision,
+        revision: committed.revision,
+        operation_id: stamp.operation_id,
+        is_repeat: committed.is_repeat,
     }))
 }
+
+fn audit(shared: &Shared, stamp: &Stamp, what: &str, result: &Result<Committed>) {
+    let (event, ending) = match result {
+        Ok(committed) => (
+            "committed",
+            format!("committed as revision {}", committed.revision),
+        ),
+        Err(error) => (
+            error.kind().answer().name,
+            format!("not committed ({error})"),
+        ),
+    };
+    shared.metrics.on_event("audit", event);
+    log::info!(
+        target: "audit",
+        "Operator {}, operation {}: {what} {ending}.",
+        stamp.operator, stamp.operation_id
+    );
+}
+
+/// Finds the host that holds the highest revision above `revision`.
+async fn newest_peer(shared: &Shared, revision: Revision) -> Option<(String, Revision)> {
+    let views = crate::admin::in_force::ask_all(shared).await;
+    views
+        .into_iter()
+        .filter_map(|view| Some((view.host, view.head?.revision)))
+        .filter(|(_, held)| *held > revision)
+        .max_by_key(|(_, held)| *held)
+}
+
+/// Tells the kind of a record, from what is in force or from its history.
+async fn known_id(
+    shared: &Shared,
+    name: &str,
+    version: RecordVersion,
+    kind: Option<RecordKind>,
+) -> Result<RecordId> {
+    if let Some(kind) = kind {
+        return Ok(RecordId {
+            kind,
+            name: name.to_owned(),
+            version,
+        });
+    }
+    let (head, _) = load_head(&shared.platform).await?;
+    if let Ok(entry) = find(&head, name, version, None) {
+        return Ok(entry.id.clone());
+    }
+    load_history(&shared.platform, MAX_HISTORY)
+        .await?
+        .into_iter()
+        .filter_map(|operation| operation.subject)
+        .find(|id| id.name == name && id.version == version)
+        .ok_or_else(|| unknown(name, version))
+}
+
+fn find<'a>(
+    head: &'a Head,
+    name: &str,
+    version: RecordVersion,
+    kind: Option<RecordKind>,
+) -> Result<&'a HeadEntry> {
+    let mut found = head.entries.iter().filter(|entry| {
+        let id = &entry.id;
+        id.name == name && id.version == version && kind.is_none_or(|kind| kind == id.kind)
+    });
+    let first = found.next().ok_or_else(|| unknown(name, version))?;
+    if found.next().is_some() {
+        return Err(Error::new(
+            Kind::UnknownRecord,
+            format!("{name}/{version} is a route and a service; name one with ?kind="),
+        ));
+    }
+    Ok(first)
+}
+
+fn unknown(name: &str, version: RecordVersion) -> Error {
+    Error::new(
+        Kind::UnknownRecord,
+        format!("no record {name}/{version} is in force"),
+    )
+}
--- a/crates/process/host/src/config.rs
+++ b/crates/process/host/src/config.rs
@@ -1,12 +1,18 @@
-//! Adoption of configuration from the platform's store.
+//! Adoption of configuration from the platform's store and from peers.
+//!
+//! The order of adoption is `record::judge`; this module feeds it from the
+//! store's watch and from what peers hold, and swaps what it lets through into
+//! force. Queries in flight keep the snapshot that they began with.
 
 use {
     crate::shared::Shared,
     fleet::LifeEvent,
-    kind::Result,
-    record::{Head, InForce},
+    kind::{Kind, Result},
+    parking_lot::Mutex,
+    rand::seq::IndexedRandom,
+    record::{judge, Bundle, Head, HeadId, InForce, Source, Verdict, WireBundle},
     std::{sync::Arc, time::Duration},
-    store::{load_in_force, Platform, HEAD_KEY},
+    store::{load_bundle, Fault, Platform, Value, HEAD_KEY},
     tokio::time::sleep,
 };
 
@@ -14,47 +20,165 @@
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two looks at what a peer holds.
+const PEER_PAUSE: Duration = Duration::from_millis(500);
+
+/// Head of the store that was refused last, so that one alarm is raised for each.
+#[derive(Default)]
+pub(crate) struct Refused(Mutex<Option<HeadId>>);
 
 /// Follows the head for as long as the process lives.
 pub(crate) async fn follow_head(shared: Arc<Shared>) {
     let mut after = 0;
     loop {
-        match shared.platform.watch(HEAD_KEY, after, WATCH_WAIT).await {
-            Ok(None) => {}
-            Ok(Some(value)) => match adopt(&shared, &value.bytes).await {
-                Ok(()) => after = value.key_revision,
+        let seen = match shared.platform.watch(HEAD_KEY, after, WATCH_WAIT).await {
+            // A restored store may show a lower revision, which no watch tells of.
+            Ok(None) => shared.platform.get(HEAD_KEY).await,
+            other => other,
+        };
+        match take_seen(&shared, seen).await {
+            Some(key_revision) => after = key_revision,
+            None => sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+/// Takes what the store showed, and returns the revision to watch from.
+async fn take_seen(shared: &Shared, seen: Result<Option<Value>, Fault>) -> Option<u64> {
+    match seen {
+        Ok(value) => {
+            let key_revision = value.as_ref().map_or(0, |value| value.key_revision);
+            match adopt_from_store(shared, value).await {
+                Ok(()) => Some(key_revision),
                 Err(error) => {
                     log::error!(target: "config", "Head not adopted: {error}.");
-                    sleep(RETRY_PAUSE).await;
+                    None
                 }
-            },
-            Err(fault) => {
-                log::warn!(target: "config", "Watch failed: {fault:?}.");
-                sleep(RETRY_PAUSE).await;
             }
         }
+        Err(fault) => {
+            log::warn!(target: "config", "Watch failed: {fault:?}.");
+            None
+        }
+    }
+}
+
+async fn adopt_from_store(shared: &Shared, value: Option<Value>) -> Result<()> {
+    let head = value.map_or(Ok(Head::default()), |value| Head::from_json(&value.bytes))?;
+    let held = shared.in_force();
+    match judge(&held.head().id(), &head, Source::Store) {
+        Verdict::Adopt => {
+            let bundle = load_bundle(&shared.platform, head, held.bundle()).await?;
+            put_in_force(shared, bundle, Source::Store)
+        }
+        Verdict::Same => {
+            clear_alarm(shared);
+            Ok(())
+        }
+        Verdict::Lagging | Verdict::Reverted | Verdict::Forked => {
+            raise_alarm(shared, &head);
+            Ok(())
+        }
+    }
+}
+
+/// Asks random peers what they hold, for as long as the process lives.
+pub(crate) async fn follow_peers(shared: Arc<Shared>) {
+    loop {
+        sleep(PEER_PAUSE).await;
+        let members = shared.members.all();
+        let others: Vec<_> = members
+            .iter()
+            .filter(|member| member.id != shared.settings.member.id)
+            .collect();
+        let Some(peer) = others.choose(&mut rand::rng()).map(|m| m.peer_addr) else {
+            continue;
+        };
+        let revision = shared.in_force().revision();
+        // A peer that does not answer is the membership's concern.
+        let Ok(held) = shared.peers.held(peer, revision).await else {
+            continue;
+        };
+        let Some(bundle) = held.bundle else { continue };
+        if let Err(error) = adopt_from_peer(&shared, bundle) {
+            log::warn!(target: "config", "Bundle of {peer} not adopted: {error}.");
+        }
     }
 }
 
-async fn adopt(shared: &Shared, text: &[u8]) -> Result<()> {
-    let head = Head::from_json(text)?;
-    let current = shared.in_force().revision();
-    if head.revision <= current {
-        log::warn!(target: "config", "Revision {} ignored, {current} is in force.", head.revision);
-        return Ok(());
+/// Takes the bundle that a peer holds, if it goes before what is in force.
+///
+/// # Errors
+///
+/// Returns [`Kind::BadRecord`] for a bundle that does not pass its checks.
+pub(crate) fn adopt_from_peer(shared: &Shared, wire: WireBundle) -> Result<()> {
+    put_in_force(shared, Bundle::try_from(wire)?, Source::Peer)
+}
+
+/// Puts a bundle in force unless something newer came first.
+fn put_in_force(shared: &Shared, bundle: Bundle, source: Source) -> Result<()> {
+    let in_force = Arc::new(InForce::try_from(bundle)?);
+    let mut verdict = Verdict::Same;
+    shared.config.send_if_modified(|held| {
+        // Judged again under the lock, since store and peers offer at once.
+        verdict = judge(&held.head().id(), in_force.head(), source);
+        if verdict != Verdict::Adopt {
+            return false;
+        }
+        *held = Arc::clone(&in_force);
+        true
+    });
+    match verdict {
+        Verdict::Adopt => announce(shared, &in_force, source),
+        Verdict::Forked => raise_alarm(shared, in_force.head()),
+        Verdict::Same | Verdict::Lagging | Verdict::Reverted => {}
     }
-    let in_force = load_in_force(&shared.platform, &head).await?;
-    put_in_force(shared, in_force);
     Ok(())
 }
 
-fn put_in_force(shared: &Shared, in_force: InForce) {
+fn announce(shared: &Shared, in_force: &InForce, source: Source) {
     let revision = in_force.revision();
-    let has_routes = in_force.has_routes();
-    shared.config.send_replace(Arc::new(in_force));
     shared.metrics.on_revision(revision);
-    log::info!(target: "config", "Revision {revision} in force.");
-    if has_routes {
+    if source == Source::Store {
+        clear_alarm(shared);
+    }
+    log::info!(target: "config", "Revision {revision} in force, learned from {source:?}.");
+    if in_force.has_routes() {
         shared.life.on_event(LifeEvent::Configured);
     }
 }
+
+/// Alarms about a store that shows an older state or one of another origin.
+fn raise_alarm(shared: &Shared, head: &Head) {
+    let in_force = shared.in_force().revision();
+    shared.metrics.on_store_reverted(true);
+    let last = shared.refused.0.lock().replace(head.id());
+    if last.as_ref() != Some(&head.id()) {
+        let kind = Kind::StoreReverted.answer().title;
+        log::error!(
+            target: "config",
+            "{kind}: revision {} by operation '{}' is refused, revision {in_force} stays in force; \
+             give the store back what the hosts hold with 'wharfctl recover'.",
+            head.revision, head.operation_id
+        );
+    }
+}
+
+/// Alarms about a store that a commit found to be reverted.
+pub(crate) async fn check_store(shared: &Shared) {
+    match shared.platform.get(HEAD_KEY).await {
+        Ok(value) => {
+            if let Err(error) = adopt_from_store(shared, value).await {
+                log::error!(target: "config", "Head not adopted: {error}.");
+            }
+        }
+        Err(fault) => log::warn!(target: "config", "Head not read: {fault:?}."),
+    }
+}
+
+fn clear_alarm(shared: &Shared) {
+    shared.metrics.on_store_reverted(false);
+    if shared.refused.0.lock().take().is_some() {
+        log::info!(target: "config", "The store shows the state in force again.");
+    }
+}
--- a/crates/process/host/src/entry/answer.rs
+++ b/crates/process/host/src/entry/answer.rs
@@ -1,7 +1,9 @@
 //! The envelope of an answer.
 
 use {
+    crate::claims::Keepable,
     fleet::{QueryAnswer, WireRows},
+    kind::Ran,
     plan::CoverageReport,
     record::{IndexVersion, RecordVersion, Revision, Route},
     serde::Serialize,
@@ -15,6 +17,8 @@
     snapshot: SnapshotStated,
     coverage: CoverageStated,
     results: Vec<WireRows>,
+    #[serde(skip)]
+    ran: Ran,
 }
 
 #[derive(Serialize)]
@@ -57,6 +61,22 @@
                 report: answer.coverage,
             },
             results: answer.rows,
+            ran: answer.ran,
         }
     }
+
+    /// Returns whether no shard is missing.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.coverage.is_complete
+    }
+}
+
+impl Keepable for Envelope {
+    fn text(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    fn ran(&self) -> Ran {
+        self.ran
+    }
 }
--- a/crates/process/host/src/entry/query.rs
+++ b/crates/process/host/src/entry/query.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        claims::{run_once, Once, OnceRequest},
         entry::{answer::Envelope, headers::QueryHeaders, problem::Problem},
         relay,
         shared::Shared,
@@ -24,11 +25,18 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    store::{fingerprint, ClaimScope},
 };
 
 /// Time that an entry keeps for itself out of a deadline, in milliseconds.
 const OWN_SHARE_MS: u64 = 2;
 
+/// Headers of an answer that was kept from the first attempt.
+const REPEATED_HEADERS: [(&str, &str); 2] = [
+    ("content-type", "application/json"),
+    ("x-wharf-repeated", "true"),
+];
+
 /// Returns the routes for callers and the balancer.
 pub(crate) fn router(shared: Arc<Shared>) -> Router {
     let max_body_bytes = shared.settings.max_body_bytes;
@@ -76,8 +84,8 @@
         Err(error) => Err(error),
     };
     let outcome = match &result {
-        Ok((_, true)) => "ok",
-        Ok((_, false)) => "partial",
+        Ok(Once::Ran(envelope)) if !envelope.is_complete() => "partial",
+        Ok(_) => "ok",
         Err(error) => error.kind().answer().name,
     };
     let labels = QueryLabels {
@@ -87,7 +95,8 @@
     };
     shared.metrics.on_query(labels, began.elapsed());
     match result {
-        Ok((envelope, _)) => Json(envelope).into_response(),
+        Ok(Once::Ran(envelope)) => Json(envelope).into_response(),
+        Ok(Once::Repeated(text)) => (REPEATED_HEADERS, text).into_response(),
         Err(error) => {
             log::debug!(target: "entry", "Query refused: {error}.");
             Problem(error).into_response()
@@ -101,20 +110,14 @@
     headers: &QueryHeaders,
     body: Result<Bytes, BytesRejection>,
     began: Instant,
-) -> Result<(Envelope, bool)> {
-    let _in_flight = shared
+) -> Result<Once<Envelope>> {
+    let in_flight = shared
         .life
         .enter()
         .ok_or_else(|| not_ready(shared.life.phase()))?;
     let route = shared.in_force().route(route, headers.record_version)?;
     let deadline = began + headers.deadline_for(&route)?;
     let query = checked_body(body, shared.settings.max_body_bytes)?;
-    if !route.repeatable && headers.idempotency_key.is_none() {
-        return Err(Error::new(
-            Kind::BadKey,
-            "the route is not repeatable, so the idempotency-key header is needed",
-        ));
-    }
     let call = QueryCall {
         protocol_version: PROTOCOL_VERSION,
         request_id: format!("{:032x}", rand::random::<RequestId>()),
@@ -125,12 +128,47 @@
         time_left_ms: 0,
         query,
     };
-    let answer = send_to_relay(shared, &route, call, deadline).await?;
+    if route.repeatable {
+        return dispatch(Arc::clone(shared), route, call, deadline)
+            .await
+            .map(Once::Ran);
+    }
+    let request = OnceRequest {
+        scope: checked_scope(headers, &route)?,
+        fingerprint: fingerprint(call.query.get().as_bytes()),
+        route: Arc::clone(&route),
+        deadline,
+        _in_flight: in_flight,
+    };
+    let dispatch = dispatch(Arc::clone(shared), route, call, deadline);
+    run_once(shared, request, dispatch).await
+}
+
+fn checked_scope(headers: &QueryHeaders, route: &Route) -> Result<ClaimScope> {
+    let key = headers.idempotency_key.clone().ok_or_else(|| {
+        Error::new(
+            Kind::BadKey,
+            "the route is not repeatable, so the idempotency-key header is needed",
+        )
+    })?;
+    Ok(ClaimScope {
+        tenant: headers.tenant.clone(),
+        route: route.name.clone(),
+        key,
+    })
+}
+
+async fn dispatch(
+    shared: Arc<Shared>,
+    route: Arc<Route>,
+    call: QueryCall,
+    deadline: Instant,
+) -> Result<Envelope> {
+    let answer = send_to_relay(&shared, &route, call, deadline).await?;
     if answer.coverage.share() < route.coverage.min_share {
         return Err(low_coverage(&answer));
     }
-    let is_complete = answer.coverage.is_complete();
-    Ok((Envelope::new(&route, answer), is_complete))
+    Ok(Envelope::new(&route, answer))
 }
 
 fn not_ready(phase: Phase) -> Error {
--- a/crates/process/host/src/lib.rs
+++ b/crates/process/host/src/lib.rs
@@ -5,6 +5,7 @@
 //! carries actions out.
 
 mod admin;
+mod claims;
 mod config;
 mod entry;
 mod life;
--- a/crates/process/host/src/peer.rs
+++ b/crates/process/host/src/peer.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{relay, shared::Shared},
-    fleet::{Peer, PeerClient, QueryAnswer, QueryCall, PROTOCOL_VERSION},
+    fleet::{Held, Peer, PeerClient, QueryAnswer, QueryCall, PROTOCOL_VERSION},
     futures::StreamExt,
     kind::{Error, Kind, Ran, Result},
     parking_lot::Mutex,
+    record::{Revision, WireBundle},
     std::{
         collections::HashMap,
         io,
@@ -25,6 +26,8 @@
 
 /// Time for opening a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for asking a peer what it holds.
+const HELD_TIMEOUT: Duration = Duration::from_millis(750);
 /// Largest message between hosts, in bytes.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 
@@ -54,6 +57,21 @@
         }
     }
 
+    /// Asks a peer what it holds, with the records if they are newer than `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::HostLost`] if the peer does not answer in time.
+    pub(crate) async fn held(&self, addr: SocketAddr, revision: Revision) -> Result<Held> {
+        let client = self.client(addr).await?;
+        let mut context = context::current();
+        context.deadline = Instant::now() + HELD_TIMEOUT;
+        client.held(context, revision).await.map_err(|error| {
+            self.clients.lock().remove(&addr);
+            Error::new(Kind::HostLost, format!("{addr}: {error}"))
+        })
+    }
+
     async fn client(&self, addr: SocketAddr) -> Result<PeerClient> {
         if let Some(client) = self.clients.lock().get(&addr) {
             return Ok(client.clone());
@@ -96,6 +114,16 @@
         }
         relay::serve(&self.0, call).await
     }
+
+    async fn held(self, _: Context, revision: Revision) -> Held {
+        let in_force = self.0.in_force();
+        let is_newer = in_force.revision() > revision;
+        Held {
+            host: self.0.settings.member.id.clone(),
+            head: in_force.head().id(),
+            bundle: is_newer.then(|| WireBundle::from(in_force.bundle().as_ref())),
+        }
+    }
 }
 
 /// Listens for peers; the returned future serves them.
--- a/crates/process/host/src/run.rs
+++ b/crates/process/host/src/run.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        admin, config, entry,
+        admin,
+        claims::Claims,
+        config::{self, Refused},
+        entry,
         life::LifeWatch,
         members::{self, Members},
         peer::{self, Peers},
@@ -46,6 +49,8 @@
         metrics: Metrics::new()?,
         platform: HttpPlatform::new(settings.platform_addr, PLATFORM_TIMEOUT),
         config: watch::Sender::new(Arc::new(InForce::default())),
+        refused: Refused::default(),
+        claims: Claims::default(),
         members: Members::new(settings.member.clone()),
         peers: Peers::default(),
         pools: Pools::default(),
@@ -66,6 +71,7 @@
         spawn(serve_http(entry, entry::router(Arc::clone(&shared)))),
         spawn(serve_http(admin, admin::router(Arc::clone(&shared)))),
         spawn(config::follow_head(Arc::clone(&shared))),
+        spawn(config::follow_peers(Arc::clone(&shared))),
         spawn(members::follow_list(Arc::clone(&shared))),
     ];
     Ok(RunningHost {
--- a/crates/process/host/src/shared.rs
+++ b/crates/process/host/src/shared.rs
@@ -1,7 +1,10 @@
 //! What the parts of a host share for the life of the process.
 
 use {
-    crate::{life::LifeWatch, members::Members, peer::Peers, relay::pool::Pools, Settings},
+    crate::{
+        claims::Claims, config::Refused, life::LifeWatch, members::Members, peer::Peers,
+        relay::pool::Pools, Settings,
+    },
     meter::Metrics,
     record::InForce,
     std::sync::Arc,
@@ -15,6 +18,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) platform: HttpPlatform,
     pub(crate) config: watch::Sender<Arc<InForce>>,
+    pub(crate) refused: Refused,
+    pub(crate) claims: Claims,
     pub(crate) members: Members,
     pub(crate) peers: Peers,
     pub(crate) pools: Pools,
--- a/crates/process/meter/src/metrics.rs
+++ b/crates/process/meter/src/metrics.rs
@@ -37,6 +37,7 @@
     query_latency_ms: Histogram<f64>,
     leaf_calls: Counter<u64>,
     revision: Gauge<u64>,
+    store_reverted: Gauge<u64>,
     events: Counter<u64>,
 }
 
@@ -67,6 +68,10 @@
                 .u64_gauge("wharf_config_revision")
                 .with_description("Revision of the configuration in force on this host")
                 .build(),
+            store_reverted: meter
+                .u64_gauge("wharf_store_reverted")
+                .with_description("Whether the store shows an older state than the one in force")
+                .build(),
             events: meter
                 .u64_counter("wharf_events")
                 .with_description("Events of the parts of the host, by part and event")
@@ -101,6 +106,11 @@
         self.revision.record(revision, &[]);
     }
 
+    /// Records whether the store shows an older state than the one in force.
+    pub fn on_store_reverted(&self, is_reverted: bool) {
+        self.store_reverted.record(u64::from(is_reverted), &[]);
+    }
+
     /// Counts an event of a part.
     pub fn on_event(&self, part: &'static str, event: &'static str) {
         let labels = [KeyValue::new("part", part), KeyValue::new("event", event)];
--- a/crates/process/store/src/commit.rs
+++ b/crates/process/store/src/commit.rs
@@ -1,63 +1,398 @@
-//! Commit of a record: an immutable body first, then the head.
+//! Commit of a change: immutable bodies first, then the head by compare-and-swap.
+//!
+//! The head is the only commit point, so whatever else was written by a commit
+//! that fails stays without effect. The decisions are [`Commit`], plain state
+//! that is fed with the outcome of each call; [`commit`] carries its steps out.
+//!
+//! A lost reply is settled by reading back: the head names the last operations.
+//! While it still stands at the revision on which the lost write was based, the
+//! same write is repeated, since at most one of the two can take effect. Once
+//! it has moved on without the operation, the lost write can never take effect.
 
 use {
-    crate::{load_head, Expected, Fault, Platform, HEAD_KEY},
+    crate::{history_key, Expected, Fault, KeyRevision, Platform, Value, HEAD_KEY},
     bytes::Bytes,
-    kind::{Error, Kind, Result},
-    record::{HeadEntry, RawRecord, Record, Revision},
+    kind::{Error, Kind, Ran, Result},
+    record::{
+        judge, Bundle, Change, Head, HeadId, Operation, Precondition, RawRecord, Record, Revision,
+        Source, Stamp, Verdict, MAX_OPERATIONS, MAX_RECORD_BYTES,
+    },
+    std::{collections::VecDeque, time::Duration},
+    tokio::time::sleep,
     xxhash_rust::xxh3::xxh3_128,
 };
 
-/// Commits a record and returns the revision that brings it into force.
+/// Most looks at the head within one commit.
+const MAX_LOOKS: u32 = 8;
+/// Pause before the head is read again, growing with each look.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// An immutable value that a change needs in the store.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Body {
+    /// Key, which carries the hash of the text.
+    pub key: String,
+    /// Text.
+    pub text: String,
+}
+
+/// A committed change.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Committed {
+    /// Revision that brings the change into force.
+    pub revision: Revision,
+    /// Whether an earlier attempt of the same operation had committed it.
+    pub is_repeat: bool,
+}
+
+/// What a commit wants done next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CommitStep {
+    /// Read the head.
+    ReadHead,
+    /// Write a key.
+    Write {
+        /// Key.
+        key: String,
+        /// What the write expects to find.
+        expected: Expected,
+        /// Bytes of the value.
+        bytes: Bytes,
+    },
+    /// Nothing; the commit has ended.
+    Done(Result<Committed>),
+}
+
+/// What happened to a step.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CommitEvent {
+    /// The head was read.
+    Read(Result<Option<Value>, Fault>),
+    /// A key was written.
+    Written(Result<KeyRevision, Fault>),
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Base {
+    head: Head,
+    key_revision: Option<KeyRevision>,
+}
+
+/// One commit, from its first look at the head to its end.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Commit {
+    change: Change,
+    stamp: Stamp,
+    precondition: Precondition,
+    bodies: Vec<Body>,
+    held: HeadId,
+    base: Option<Base>,
+    pending: VecDeque<Body>,
+    next: Option<Head>,
+    looks: u32,
+    is_unsettled: bool,
+}
+
+impl Commit {
+    /// Creates the commit of a change.
+    pub fn new(change: Change, stamp: Stamp) -> Self {
+        Self {
+            change,
+            stamp,
+            precondition: Precondition::None,
+            bodies: Vec::new(),
+            held: HeadId::default(),
+            base: None,
+            pending: VecDeque::new(),
+            next: None,
+            looks: 0,
+            is_unsettled: false,
+        }
+    }
+
+    /// Creates the commit of a record.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::BadRecord`] or [`Kind::RecordTooLarge`].
+    pub fn put(raw: &RawRecord, stamp: Stamp) -> Result<Self> {
+        let record = Record::try_from(raw.clone())?;
+        let text = raw.to_json();
+        if text.len() > MAX_RECORD_BYTES {
+            return Err(Error::new(
+                Kind::RecordTooLarge,
+                format!("{} bytes, allowed are {MAX_RECORD_BYTES}", text.len()),
+            ));
+        }
+        let body = Body {
+            key: body_key(&record, &text),
+            text,
+        };
+        let change = Change::Put {
+            id: record.id(),
+            body_key: body.key.clone(),
+        };
+        Ok(Self::new(change, stamp).with_bodies(vec![body]))
+    }
+
+    /// Creates the commit that gives the store back what a host holds.
+    pub fn recover(held: &Bundle, stamp: Stamp) -> Self {
+        let bodies = held.bodies.iter().map(|(key, text)| Body {
+            key: key.clone(),
+            text: text.to_string(),
+        });
+        let change = Change::Recover {
+            held: held.head.clone().into(),
+        };
+        Self::new(change, stamp).with_bodies(bodies.collect())
+    }
+
+    /// Adds bodies that the change needs.
+    pub fn with_bodies(mut self, bodies: Vec<Body>) -> Self {
+        self.bodies = bodies;
+        self
+    }
+
+    /// Sets what the operator expects to find.
+    pub fn with_precondition(mut self, precondition: Precondition) -> Self {
+        self.precondition = precondition;
+        self
+    }
+
+    /// Sets the head that the committing host holds; a store that shows an
+    /// older one was restored, and nothing is committed on top of it.
+    pub fn with_held(mut self, held: HeadId) -> Self {
+        self.held = held;
+        self
+    }
+
+    /// Returns who makes the change, under which identifier.
+    pub fn stamp(&self) -> &Stamp {
+        &self.stamp
+    }
+
+    /// Returns the change.
+    pub fn change(&self) -> &Change {
+        &self.change
+    }
+
+    /// Returns the first step.
+    pub fn start(&mut self) -> CommitStep {
+        self.look()
+    }
+
+    /// Takes the outcome of the last step and returns the next one.
+    pub fn on_event(&mut self, event: CommitEvent) -> CommitStep {
+        match event {
+            CommitEvent::Read(Ok(value)) => self.on_head(value),
+            CommitEvent::Read(Err(fault)) => self.fail(fault),
+            CommitEvent::Written(written) if !self.pending.is_empty() => self.on_body(written),
+            CommitEvent::Written(written) => self.on_head_written(written),
+        }
+    }
+
+    fn look(&mut self) -> CommitStep {
+        self.looks += 1;
+        if self.looks <= MAX_LOOKS {
+            return CommitStep::ReadHead;
+        }
+        let detail = "the head changes all the time".to_owned();
+        if self.is_unsettled {
+            return self.fail(Fault::Unreachable(detail));
+        }
+        CommitStep::Done(Err(Error::new(Kind::Conflict, detail)))
+    }
+
+    /// Ends without knowing more than before.
+    fn fail(&self, fault: Fault) -> CommitStep {
+        let error = Error::from(fault);
+        CommitStep::Done(Err(if self.is_unsettled {
+            Error::new(
+                Kind::StoreUnknown,
+                format!(
+                    "operation {} may have been committed; repeat it under the same identifier: {}",
+                    self.stamp.operation_id,
+                    error.detail()
+                ),
+            )
+        } else {
+            Error::new(Kind::StoreDown, error.detail()).with_ran(Ran::No)
+        }))
+    }
+
+    fn on_head(&mut self, value: Option<Value>) -> CommitStep {
+        let key_revision = value.as_ref().map(|v| v.key_revision);
+        let head = match value.map_or(Ok(Head::default()), |v| Head::from_json(&v.bytes)) {
+            Ok(head) => head,
+            Err(error) => return CommitStep::Done(Err(error)),
+        };
+        if let Some(operation) = head.operation(&self.stamp.operation_id) {
+            return CommitStep::Done(self.repeated(operation));
+        }
+        let is_same_base = self
+            .base
+            .as_ref()
+            .is_some_and(|b| b.key_revision == key_revision);
+        if self.is_unsettled && is_same_base {
+            return self.write_head();
+        }
+        if let Err(error) = self.settle(&head) {
+            return CommitStep::Done(Err(error));
+        }
+        match self.plan(head, key_revision) {
+            Ok(()) => self.write(),
+            Err(error) => CommitStep::Done(Err(error)),
+        }
+    }
+
+    /// Answers an operation that the head names already.
+    fn repeated(&self, operation: &Operation) -> Result<Committed> {
+        if !operation.is_of(&self.change) {
+            return Err(Error::new(
+                Kind::KeyReused,
+                format!("operation {} made another change", operation.operation_id),
+            ));
+        }
+        Ok(Committed {
+            revision: operation.revision,
+            is_repeat: !self.is_unsettled,
+        })
+    }
+
+    /// Checks that a lost write is known not to have taken effect.
+    fn settle(&mut self, head: &Head) -> Result<()> {
+        let based_on = self.base.as_ref().map_or(0, |base| base.head.revision);
+        if self.is_unsettled && !head.names_all_since(based_on) {
+            return Err(Error::new(
+                Kind::StoreUnknown,
+                "too many operations since; compare the record in force with yours",
+            ));
+        }
+        self.is_unsettled = false;
+        Ok(())
+    }
+
+    /// Decides what to write on top of `head`.
+    fn plan(&mut self, head: Head, key_revision: Option<KeyRevision>) -> Result<()> {
+        let is_recovery = matches!(self.change, Change::Recover { .. });
+        let verdict = judge(&self.held, &head, Source::Store);
+        if !is_recovery && matches!(verdict, Verdict::Reverted | Verdict::Forked) {
+            return Err(Error::new(
+                Kind::StoreReverted,
+                format!(
+                    "the store shows revision {}, {} is in force; see 'wharfctl recover'",
+                    head.revision, self.held.revision
+                ),
+            ));
+        }
+        if let Some(id) = self.change.subject() {
+            // A change of the same record since the first look came first.
+            let is_changed = |base: &Base| base.head.entry(id) != head.entry(id);
+            if self.base.as_ref().is_some_and(is_changed) {
+                return Err(head.conflict(id));
+            }
+            head.check(id, self.precondition)?;
+        }
+        self.next = Some(head.with_change(&self.change, &self.stamp)?);
+        self.pending = self.bodies.iter().cloned().collect();
+        // The operation that leaves the head must be in the history before.
+        if let Some(leaving) = head.operations.first() {
+            if head.operations.len() >= MAX_OPERATIONS {
+                self.pending.push_front(Body {
+                    key: history_key(leaving.revision),
+                    text: serde_json::to_string(leaving).unwrap_or_default(),
+                });
+            }
+        }
+        self.base = Some(Base { head, key_revision });
+        Ok(())
+    }
+
+    fn write(&mut self) -> CommitStep {
+        match self.pending.front() {
+            Some(body) => CommitStep::Write {
+                key: body.key.clone(),
+                expected: Expected::Absent,
+                bytes: Bytes::from(body.text.clone()),
+            },
+            None => self.write_head(),
+        }
+    }
+
+    fn on_body(&mut self, written: Result<KeyRevision, Fault>) -> CommitStep {
+        match written {
+            // The text under such a key never differs, so what is there is this one.
+            Ok(_) | Err(Fault::Conflict) => {
+                self.pending.pop_front();
+                self.write()
+            }
+            // No head names the body yet, so nothing has changed.
+            Err(fault) => self.fail(fault),
+        }
+    }
+
+    fn write_head(&self) -> CommitStep {
+        let expected = match self.base.as_ref().and_then(|base| base.key_revision) {
+            Some(key_revision) => Expected::At(key_revision),
+            None => Expected::Absent,
+        };
+        let head = self.next.clone().unwrap_or_default();
+        CommitStep::Write {
+            key: HEAD_KEY.to_owned(),
+            expected,
+            bytes: Bytes::from(head.to_json()),
+        }
+    }
+
+    fn on_head_written(&mut self, written: Result<KeyRevision, Fault>) -> CommitStep {
+        match written {
+            Ok(_) => CommitStep::Done(Ok(Committed {
+                revision: self.next.as_ref().map_or(0, |head| head.revision),
+                is_repeat: false,
+            })),
+            Err(Fault::Conflict) => self.look(),
+            Err(Fault::Unknown(_)) => {
+                self.is_unsettled = true;
+                self.look()
+            }
+            Err(fault) => self.fail(fault),
+        }
+    }
+}
+
+/// Carries a commit out.
 ///
 /// # Errors
 ///
-/// Returns [`Kind::BadRecord`], [`Kind::Conflict`], [`Kind::StoreDown`] or
-/// [`Kind::StoreUnknown`].
-pub async fn commit_record<P: Platform>(
-    platform: &P,
-    raw: &RawRecord,
-    operation_id: &str,
-) -> Result<Revision> {
-    let record = Record::try_from(raw.clone())?;
-    let body = raw.to_json();
-    let entry = HeadEntry {
-        kind: record.kind(),
-        name: record.name().to_owned(),
-        version: record.version(),
-        body_key: body_key(&record, &body),
-    };
-    write_body(platform, &entry.body_key, body).await?;
-    let (head, value) = load_head(platform).await?;
-    let next = head.with_entry(entry, operation_id);
-    let expected = value.map_or(Expected::Absent, |v| Expected::At(v.key_revision));
-    match platform
-        .put(HEAD_KEY, expected, Bytes::from(next.to_json()))
-        .await
-    {
-        Ok(_) => Ok(next.revision),
-        Err(Fault::Conflict) => Err(Error::new(
-            Kind::Conflict,
-            format!("the head moved on from revision {}", head.revision),
-        )),
-        Err(fault) => Err(fault.into()),
+/// Returns [`Kind::Conflict`], [`Kind::UnknownRecord`], [`Kind::HeadTooLarge`],
+/// [`Kind::KeyReused`], [`Kind::StoreReverted`] or [`Kind::StoreDown`] if
+/// nothing was changed, [`Kind::StoreUnknown`] if that is not known.
+pub async fn commit<P: Platform>(platform: &P, mut commit: Commit) -> Result<Committed> {
+    let mut step = commit.start();
+    loop {
+        let event = match step {
+            CommitStep::ReadHead => {
+                sleep(LOOK_PAUSE * (commit.looks - 1)).await;
+                CommitEvent::Read(platform.get(HEAD_KEY).await)
+            }
+            CommitStep::Write {
+                key,
+                expected,
+                bytes,
+            } => CommitEvent::Written(platform.put(&key, expected, bytes).await),
+            CommitStep::Done(result) => return result,
+        };
+        step = commit.on_event(event);
     }
 }
 
 fn body_key(record: &Record, body: &str) -> String {
+    let id = record.id();
     format!(
         "wharf/body/{}/{}/{}/{:032x}",
-        record.kind().as_str(),
-        record.name(),
-        record.version(),
+        id.kind.as_str(),
+        id.name,
+        id.version,
         xxh3_128(body.as_bytes())
     )
 }
-
-async fn write_body<P: Platform>(platform: &P, key: &str, body: String) -> Result<()> {
-    match platform.put(key, Expected::Absent, Bytes::from(body)).await {
-        // The key carries the hash of the body, so a body that is there is this one.
-        Ok(_) | Err(Fault::Conflict) => Ok(()),
-        Err(fault) => Err(fault.into()),
-    }
-}
--- a/crates/process/store/src/http.rs
+++ b/crates/process/store/src/http.rs
@@ -1,14 +1,15 @@
 //! The platform over HTTP.
 
 use {
-    crate::{Expected, Fault, KeyRevision, ListedHost, Platform, Value},
+    crate::{Expected, Fault, KeyRevision, LeaseId, ListedHost, Platform, Value},
     bytes::Bytes,
-    http::{Method, Request, StatusCode, Uri},
+    http::{header, Method, Request, StatusCode, Uri},
     http_body_util::{BodyExt, Full},
     hyper_util::{
         client::legacy::{connect::HttpConnector, Client},
         rt::TokioExecutor,
     },
+    serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
     tokio::time::timeout,
 };
@@ -24,6 +25,13 @@
     call_timeout: Duration,
 }
 
+/// A lease on the wire.
+#[derive(Deserialize, Serialize)]
+struct WireLease {
+    id: LeaseId,
+    ttl_ms: u64,
+}
+
 struct Reply {
     status: StatusCode,
     key_revision: Option<KeyRevision>,
@@ -53,6 +61,7 @@
         let request = Request::builder()
             .method(method)
             .uri(uri)
+            .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|e| Fault::Unreachable(e.to_string()))?;
         let exchange = async {
@@ -122,12 +131,21 @@
         .into_value()
     }
 
-    async fn put(&self, key: &str, expected: Expected, bytes: Bytes) -> Result<KeyRevision, Fault> {
+    async fn put_leased(
+        &self,
+        key: &str,
+        expected: Expected,
+        bytes: Bytes,
+        lease_id: Option<LeaseId>,
+    ) -> Result<KeyRevision, Fault> {
         let expected = match expected {
             Expected::Absent => 0,
             Expected::At(key_revision) => key_revision,
         };
-        let path = format!("/v1/kv/{key}?expected={expected}");
+        let mut path = format!("/v1/kv/{key}?expected={expected}");
+        if let Some(lease_id) = lease_id {
+            path += &format!("&lease_id={lease_id}");
+        }
         let reply = self.call(Method::PUT, &path, bytes, Duration::ZERO).await?;
         match (reply.status, reply.key_revision) {
             (StatusCode::OK, Some(key_revision)) => Ok(key_revision),
@@ -135,6 +153,26 @@
         }
     }
 
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, Fault> {
+        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        let wanted = WireLease { id: 0, ttl_ms };
+        let body = serde_json::to_vec(&wanted).map_err(|e| Fault::Unreachable(e.to_string()))?;
+        let reply = self
+            .call(
+                Method::POST,
+                "/v1/leases",
+                Bytes::from(body),
+                Duration::ZERO,
+            )
+            .await?;
+        if reply.status != StatusCode::OK {
+            return Err(reply.into_fault());
+        }
+        let granted: WireLease =
+            serde_json::from_slice(&reply.bytes).map_err(|e| Fault::Unknown(e.to_string()))?;
+        Ok(granted.id)
+    }
+
     async fn watch(
         &self,
         key: &str,
--- a/crates/process/store/src/lib.rs
+++ b/crates/process/store/src/lib.rs
@@ -4,14 +4,23 @@
 //! what did not happen from what may have happened, because a lost reply is
 //! not a failed write.
 
+mod claim;
 mod commit;
+mod history;
 mod http;
 mod load;
 mod platform;
 
 pub use crate::{
-    commit::commit_record,
+    claim::{
+        claim, fingerprint, record_outcome, Claim, ClaimAttemptId, ClaimEvent, ClaimScope,
+        ClaimStep, Claimed, Claiming, Fingerprint, Outcome, Won, MAX_KEPT_ANSWER_BYTES,
+    },
+    commit::{commit, Body, Commit, CommitEvent, CommitStep, Committed},
+    history::{body_key_at, load_history, MAX_HISTORY},
     http::HttpPlatform,
-    load::{load_head, load_in_force, HEAD_KEY},
-    platform::{Expected, Fault, KeyRevision, ListedHost, Platform, Role, Value},
+    load::{load_body, load_bundle, load_head, HEAD_KEY},
+    platform::{Expected, Fault, KeyRevision, LeaseId, ListedHost, Platform, Role, Value},
 };
+
+use crate::history::history_key;
--- a/crates/process/store/src/platform.rs
+++ b/crates/process/store/src/platform.rs
@@ -11,8 +11,11 @@
 /// Revision of a key, rising with each change of it.
 pub type KeyRevision = u64;
 
+/// Identifier of a lease, which the platform removes its keys with.
+pub type LeaseId = u64;
+
 /// A value with the revision at which it was read.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Value {
     /// Revision of the key.
     pub key_revision: KeyRevision,
@@ -21,7 +24,7 @@
 }
 
 /// What a conditional write expects to find.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Expected {
     /// No value.
     Absent,
@@ -30,7 +33,7 @@
 }
 
 /// Why a call to the platform failed.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Fault {
     /// The expectation did not hold, so nothing was written.
     Conflict,
@@ -97,8 +100,30 @@
         key: &str,
         expected: Expected,
         bytes: Bytes,
+    ) -> impl Future<Output = Result<KeyRevision, Fault>> + Send {
+        self.put_leased(key, expected, bytes, None)
+    }
+
+    /// Writes a key as [`Platform::put`] does; the platform removes it with its lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns the faults of [`Platform::put`].
+    fn put_leased(
+        &self,
+        key: &str,
+        expected: Expected,
+        bytes: Bytes,
+        lease_id: Option<LeaseId>,
     ) -> impl Future<Output = Result<KeyRevision, Fault>> + Send;
 
+    /// Grants a lease that ends after `ttl` unless it is renewed.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] if the platform does not answer.
+    fn grant_lease(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, Fault>> + Send;
+
     /// Waits until the key has a revision above `after`, for at most `wait`.
     ///
     /// Returns `None` if the time passes without a change.
--- a/crates/version/record/src/head.rs
+++ b/crates/version/record/src/head.rs
@@ -2,14 +2,26 @@
 //!
 //! The head lists every record in force with the key of its immutable body.
 //! It carries a revision that rises with each commit, so that hosts can tell
-//! newer from older without trusting clocks or the order of arrival.
+//! newer from older without trusting clocks or the order of arrival. It also
+//! names the last operations, so that a writer whose reply was lost can tell
+//! whether it committed, also after others have committed on top.
 
 use {
-    crate::{bad_field, RecordVersion, Revision},
-    kind::Result,
+    crate::{bad_field, Change, Operation, Precondition, RecordVersion, Revision, Stamp},
+    kind::{Error, Kind, Result},
     serde::{Deserialize, Serialize},
+    std::fmt,
 };
 
+/// Largest size of the head, in bytes. The platform's store holds values up to a megabyte.
+pub const MAX_HEAD_BYTES: usize = 1_000_000;
+
+/// Number of operations that the head names.
+pub const MAX_OPERATIONS: usize = 64;
+
+/// Number of recoveries, rising with each.
+pub type Generation = u64;
+
 /// Kind of a record, as part of its key.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -30,48 +42,173 @@
     }
 }
 
-/// One record in force.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct HeadEntry {
+/// What tells one record from all others.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RecordId {
     /// Kind of the record.
     pub kind: RecordKind,
     /// Name of the record.
     pub name: String,
     /// Version of the record.
     pub version: RecordVersion,
+}
+
+impl fmt::Display for RecordId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}/{}", self.kind.as_str(), self.name, self.version)
+    }
+}
+
+/// One record in force.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct HeadEntry {
+    /// What tells the record from all others.
+    #[serde(flatten)]
+    pub id: RecordId,
     /// Key of the immutable body in the platform's store.
     pub body_key: String,
+    /// Revision of the head that brought this body into force.
+    #[serde(default)]
+    pub revision: Revision,
+}
+
+/// What tells one head from all others, also after the store was restored.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct HeadId {
+    /// Number of recoveries.
+    #[serde(default)]
+    pub generation: Generation,
+    /// Revision.
+    pub revision: Revision,
+    /// Identifier of the operation that made the revision.
+    pub operation_id: String,
 }
 
 /// The list of records in force at one revision.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Head {
+    /// Number of recoveries, see [`Change::Recover`].
+    #[serde(default)]
+    pub generation: Generation,
     /// Revision, rising with each commit.
     pub revision: Revision,
     /// Identifier of the operation that made this revision.
     pub operation_id: String,
     /// Records in force, ordered by kind, name and version.
     pub entries: Vec<HeadEntry>,
+    /// The last operations, the oldest first.
+    #[serde(default)]
+    pub operations: Vec<Operation>,
 }
 
 impl Head {
-    /// Returns the head that follows this one with `entry` added or replaced.
-    pub fn with_entry(&self, entry: HeadEntry, operation_id: &str) -> Self {
-        let mut entries = self.without(&entry);
-        entries.push(entry);
-        entries.sort_by(|a, b| (a.kind, &a.name, a.version).cmp(&(b.kind, &b.name, b.version)));
-        Self {
-            revision: self.revision + 1,
-            operation_id: operation_id.to_owned(),
-            entries,
+    /// Returns what tells this head from all others.
+    pub fn id(&self) -> HeadId {
+        HeadId {
+            generation: self.generation,
+            revision: self.revision,
+            operation_id: self.operation_id.clone(),
         }
     }
 
+    /// Returns the entry of a record.
+    pub fn entry(&self, id: &RecordId) -> Option<&HeadEntry> {
+        self.entries.iter().find(|entry| entry.id == *id)
+    }
+
+    /// Returns the operation with an identifier, if it is among the last.
+    pub fn operation(&self, operation_id: &str) -> Option<&Operation> {
+        self.operations
+            .iter()
+            .find(|operation| operation.operation_id == operation_id)
+    }
+
+    /// Returns whether the head names every operation since `revision`.
+    pub fn names_all_since(&self, revision: Revision) -> bool {
+        self.operations
+            .first()
+            .is_none_or(|oldest| oldest.revision <= revision + 1)
+    }
+
+    /// Returns the last operation on a record, if it is among the last.
+    pub fn last_operation_on(&self, id: &RecordId) -> Option<&Operation> {
+        self.operations
+            .iter()
+            .rfind(|operation| operation.subject.as_ref() == Some(id))
+    }
+
+    /// Checks what an operator expects to find.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::Conflict`], which names the change that came first.
+    pub fn check(&self, id: &RecordId, precondition: Precondition) -> Result<()> {
+        let found = self.entry(id).map_or(0, |entry| entry.revision);
+        let holds = match precondition {
+            Precondition::None => true,
+            Precondition::Absent => found == 0,
+            Precondition::Record(revision) => found == revision && found != 0,
+            Precondition::Head(revision) => self.revision == revision,
+        };
+        if holds {
+            return Ok(());
+        }
+        Err(self.conflict(id))
+    }
+
+    /// Creates the error that names the last change of a record.
+    pub fn conflict(&self, id: &RecordId) -> Error {
+        let detail = match self.last_operation_on(id).or(self.operations.last()) {
+            Some(other) => format!("{other}; the head is at revision {}", self.revision),
+            None => format!("the head is at revision {}", self.revision),
+        };
+        Error::new(Kind::Conflict, detail)
+    }
+
+    /// Returns the head that follows this one by a change.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::UnknownRecord`] if the record to retire is not in
+    /// force, [`Kind::HeadTooLarge`] if the head would outgrow its limit.
+    pub fn with_change(&self, change: &Change, stamp: &Stamp) -> Result<Self> {
+        let revision = match change {
+            Change::Recover { held } => self.revision.max(held.revision) + 1,
+            _ => self.revision + 1,
+        };
+        let mut next = match change {
+            Change::Recover { held } => Self {
+                generation: self.generation.max(held.generation) + 1,
+                ..held.as_ref().clone()
+            },
+            _ => self.clone(),
+        };
+        match change {
+            Change::Put { id, body_key } | Change::RollBack { id, body_key } => {
+                next.set_entry(HeadEntry {
+                    id: id.clone(),
+                    body_key: body_key.clone(),
+                    revision,
+                });
+            }
+            Change::Retire { id } => next.remove_entry(id)?,
+            Change::Recover { .. } => {}
+        }
+        next.revision = revision;
+        next.operation_id = stamp.operation_id.clone();
+        next.operations
+            .push(Operation::new(change, stamp, revision));
+        let surplus = next.operations.len().saturating_sub(MAX_OPERATIONS);
+        next.operations.drain(..surplus);
+        next.check_size()?;
+        Ok(next)
+    }
+
     /// Reads a head from its JSON text.
     ///
     /// # Errors
     ///
-    /// Returns [`kind::Kind::BadRecord`] for malformed text.
+    /// Returns [`Kind::BadRecord`] for malformed text.
     pub fn from_json(text: &[u8]) -> Result<Self> {
         serde_json::from_slice(text).map_err(|e| bad_field("head", e))
     }
@@ -81,14 +218,31 @@
         serde_json::to_vec(self).unwrap_or_default()
     }
 
-    fn without(&self, entry: &HeadEntry) -> Vec<HeadEntry> {
-        let is_same = |e: &&HeadEntry| {
-            e.kind == entry.kind && e.name == entry.name && e.version == entry.version
-        };
-        self.entries
-            .iter()
-            .filter(|e| !is_same(e))
-            .cloned()
-            .collect()
+    fn set_entry(&mut self, entry: HeadEntry) {
+        self.entries.retain(|other| other.id != entry.id);
+        self.entries.push(entry);
+        self.entries.sort_by(|a, b| a.id.cmp(&b.id));
+    }
+
+    fn remove_entry(&mut self, id: &RecordId) -> Result<()> {
+        if self.entry(id).is_none() {
+            return Err(Error::new(
+                Kind::UnknownRecord,
+                format!("{id} is not in force"),
+            ));
+        }
+        self.entries.retain(|other| other.id != *id);
+        Ok(())
+    }
+
+    fn check_size(&self) -> Result<()> {
+        let size_bytes = self.to_json().len();
+        if size_bytes > MAX_HEAD_BYTES {
+            return Err(Error::new(
+                Kind::HeadTooLarge,
+                format!("{size_bytes} bytes, allowed are {MAX_HEAD_BYTES}; retire old versions"),
+            ));
+        }
+        Ok(())
     }
 }
--- a/crates/version/record/src/in_force.rs
+++ b/crates/version/record/src/in_force.rs
@@ -4,7 +4,7 @@
 //! configuration never reaches into a query in flight.
 
 use {
-    crate::{Head, HeadEntry, Record, RecordVersion, Revision, Route, Service},
+    crate::{Bundle, Head, HeadEntry, Record, RecordVersion, Revision, Route, Service},
     kind::{Error, Kind, Result},
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -14,7 +14,7 @@
 /// All records in force at one revision.
 #[derive(Clone, Debug, Default)]
 pub struct InForce {
-    revision: Revision,
+    bundle: Arc<Bundle>,
     routes: BTreeMap<String, Versions<Route>>,
     services: BTreeMap<String, Versions<Service>>,
 }
@@ -26,16 +26,22 @@
     ///
     /// Returns the error of `body` for the first entry that has none.
     pub fn build(head: &Head, mut body: impl FnMut(&HeadEntry) -> Result<Record>) -> Result<Self> {
-        let mut built = Self {
-            revision: head.revision,
-            ..Self::default()
-        };
+        let mut built = Self::default().with_bundle(Bundle {
+            head: head.clone(),
+            ..Bundle::default()
+        });
         for entry in &head.entries {
             built.insert(body(entry)?);
         }
         Ok(built)
     }
 
+    /// Replaces the bundle that the snapshot was built from.
+    pub(crate) fn with_bundle(mut self, bundle: Bundle) -> Self {
+        self.bundle = Arc::new(bundle);
+        self
+    }
+
     fn insert(&mut self, record: Record) {
         match record {
             Record::Route(route) => {
@@ -51,7 +57,17 @@
 
     /// Returns the revision of the head.
     pub fn revision(&self) -> Revision {
-        self.revision
+        self.head().revision
+    }
+
+    /// Returns the head.
+    pub fn head(&self) -> &Head {
+        &self.bundle.head
+    }
+
+    /// Returns the head with the bodies that the snapshot was built from.
+    pub fn bundle(&self) -> &Arc<Bundle> {
+        &self.bundle
     }
 
     /// Returns whether any route is in force.
--- a/crates/version/record/src/lib.rs
+++ b/crates/version/record/src/lib.rs
@@ -4,23 +4,32 @@
 //! exchange them as JSON. Both are raw input. [`Record`] is the checked form,
 //! built once by `TryFrom` and then used without further checks.
 
+mod adopt;
+mod bundle;
 mod head;
 mod id;
 mod in_force;
 mod limits;
+mod operation;
 mod rank;
 mod raw;
+mod raw_v1;
 mod route;
 mod service;
 
 pub use crate::{
-    head::{Head, HeadEntry, RecordKind},
+    adopt::{judge, Source, Verdict},
+    bundle::{Bundle, WireBundle},
+    head::{
+        Generation, Head, HeadEntry, HeadId, RecordId, RecordKind, MAX_HEAD_BYTES, MAX_OPERATIONS,
+    },
     id::{
         HostId, IndexVersion, RecordVersion, RegionId, Revision, ServerAddr, ShardId, TenantId,
         ZoneId,
     },
     in_force::InForce,
     limits::{MAX_RECORD_BYTES, MAX_SHARDS},
+    operation::{Action, Change, Operation, OperationId, Precondition, Stamp},
     rank::{ByRank, Rank},
     raw::{
         RawCoverage, RawFloors, RawHedge, RawIndex, RawRecord, RawRoute, RawServer, RawService,
@@ -61,6 +70,15 @@
         Self::try_from(RawRecord::from_json(text)?)
     }
 
+    /// Returns what tells the record from all others.
+    pub fn id(&self) -> RecordId {
+        RecordId {
+            kind: self.kind(),
+            name: self.name().to_owned(),
+            version: self.version(),
+        }
+    }
+
     /// Returns the kind of the record.
     pub fn kind(&self) -> RecordKind {
         match self {
--- a/crates/version/record/src/raw.rs
+++ b/crates/version/record/src/raw.rs
@@ -5,14 +5,23 @@
 //! misspelt field never passes for a default.
 
 use {
-    crate::{limits::MAX_RECORD_BYTES, Record, Route, Service},
+    crate::{limits::MAX_RECORD_BYTES, raw_v1::RawRecordV1, Record, Route, Service},
     kind::{Error, Kind, Result},
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Deserializer, Serialize},
 };
 
 /// Schema version that this release writes.
 pub(crate) const SCHEMA_VERSION: u32 = 2;
 
+/// Older schema version that this release still reads.
+const OLD_SCHEMA_VERSION: u32 = 1;
+
+/// The one field that every schema version has.
+#[derive(Deserialize)]
+struct Schema {
+    schema_version: u32,
+}
+
 /// A record as written by an operator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -57,7 +66,7 @@
     pub claim_retention_hours: u64,
 }
 
-fn default_retention_hours() -> u64 {
+pub(crate) fn default_retention_hours() -> u64 {
     24
 }
 
@@ -179,9 +188,13 @@
     /// [`Kind::RecordTooLarge`].
     pub fn from_toml(text: &str) -> Result<Self> {
         check_size(text)?;
-        let value = toml::Deserializer::parse(text)
-            .map_err(|e| Error::new(Kind::BadRecord, e.to_string()))?;
-        serde_path_to_error::deserialize(value).map_err(|e| field_error(&e))
+        let parse = || {
+            toml::Deserializer::parse(text).map_err(|e| Error::new(Kind::BadRecord, e.to_string()))
+        };
+        match schema_version(parse()?)? {
+            OLD_SCHEMA_VERSION => read::<RawRecordV1, _>(parse()?)?.try_into(),
+            _ => read(parse()?),
+        }
     }
 
     /// Parses the JSON text used on the wire.
@@ -193,7 +206,10 @@
     pub fn from_json(text: &str) -> Result<Self> {
         check_size(text)?;
         let mut value = serde_json::Deserializer::from_str(text);
-        let raw = serde_path_to_error::deserialize(&mut value).map_err(|e| field_error(&e))?;
+        let raw = match schema_version(&mut serde_json::Deserializer::from_str(text))? {
+            OLD_SCHEMA_VERSION => read::<RawRecordV1, _>(&mut value)?.try_into()?,
+            _ => read(&mut value)?,
+        };
         value
             .end()
             .map_err(|e| Error::new(Kind::BadRecord, e.to_string()))?;
@@ -227,6 +243,20 @@
     }
 }
 
+fn schema_version<'de, D: Deserializer<'de>>(value: D) -> Result<u32>
+where
+    D::Error: std::error::Error,
+{
+    Ok(read::<Schema, _>(value)?.schema_version)
+}
+
+fn read<'de, T: Deserialize<'de>, D: Deserializer<'de>>(value: D) -> Result<T>
+where
+    D::Error: std::error::Error,
+{
+    serde_path_to_error::deserialize(value).map_err(|e| field_error(&e))
+}
+
 fn check_size(text: &str) -> Result<()> {
     if text.len() > MAX_RECORD_BYTES {
         return Err(Error::new(
