--- a/crates/process/host/src/config.rs
+++ b/crates/process/host/src/config.rs
@@ -5,7 +5,10 @@
 //! force. Queries in flight keep the snapshot that they began with.
 
 use {
-    crate::shared::Shared,
+    crate::{
+        peer::{CONNECT_TIMEOUT, HELD_TIMEOUT},
+        shared::Shared,
+    },
     fleet::LifeEvent,
     kind::{Kind, Result},
     parking_lot::Mutex,
@@ -23,6 +26,11 @@
 /// Pause between two looks at what a peer holds.
 const PEER_PAUSE: Duration = Duration::from_millis(500);
 
+/// Longest time from one look at a random peer to the next.
+pub const MAX_LOOK_TIME: Duration = PEER_PAUSE
+    .saturating_add(CONNECT_TIMEOUT)
+    .saturating_add(HELD_TIMEOUT);
+
 /// Head of the store that was refused last, so that one alarm is raised for each.
 #[derive(Default)]
 pub(crate) struct Refused(Mutex<Option<HeadId>>);
--- a/crates/process/host/src/lib.rs
+++ b/crates/process/host/src/lib.rs
@@ -17,6 +17,7 @@
 mod shared;
 
 pub use crate::{
+    config::MAX_LOOK_TIME,
     run::{run, RunningHost},
     settings::{RawSettings, Settings},
 };
--- a/crates/process/host/src/peer.rs
+++ b/crates/process/host/src/peer.rs
@@ -25,9 +25,9 @@
 };
 
 /// Time for opening a connection to a peer.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for asking a peer what it holds.
-const HELD_TIMEOUT: Duration = Duration::from_millis(750);
+pub(crate) const HELD_TIMEOUT: Duration = Duration::from_millis(750);
 /// Largest message between hosts, in bytes.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 
--- a/crates/process/store/src/commit.rs
+++ b/crates/process/store/src/commit.rs
@@ -326,6 +326,11 @@
                 self.pending.pop_front();
                 self.write()
             }
+            // The same write again does no harm.
+            Err(Fault::Unknown(_)) if self.looks < MAX_LOOKS => {
+                self.looks += 1;
+                self.write()
+            }
             // No head names the body yet, so nothing has changed.
             Err(fault) => self.fail(fault),
         }
--- a/crates/test/fakes/src/lib.rs
+++ b/crates/test/fakes/src/lib.rs
@@ -5,6 +5,7 @@
 //! takes its faults over a control path of its own below `/fake`.
 
 pub mod client;
+pub mod memory;
 pub mod platform;
 pub mod process;
 pub mod upstream;
--- a/crates/test/fakes/src/platform.rs
+++ b/crates/test/fakes/src/platform.rs
@@ -45,6 +45,8 @@
 pub struct Faults {
     /// Whether every call is refused.
     pub down: bool,
+    /// Whether every call but reads of the host list is refused.
+    pub store_down: bool,
     /// Delay before each answer, in milliseconds.
     pub slow_ms: u64,
     /// Number of writes that take effect and then lose their reply.
@@ -75,6 +77,7 @@
     next_key_revision: u64,
     next_lease_id: u64,
     hosts: Vec<ListedHost>,
+    backup: HashMap<String, Entry>,
     faults: Faults,
     calls: Calls,
 }
@@ -121,6 +124,18 @@
         self.shelf.lock().hosts = hosts;
     }
 
+    /// Keeps the present state for a later [`FakePlatform::restore`].
+    pub fn back_up(&self) {
+        let mut shelf = self.shelf.lock();
+        shelf.backup = shelf.entries.clone();
+    }
+
+    /// Goes back to the state that was kept.
+    pub fn restore(&self) {
+        let mut shelf = self.shelf.lock();
+        shelf.entries = shelf.backup.clone();
+    }
+
     /// Returns the calls seen so far.
     pub fn calls(&self) -> Calls {
         self.shelf.lock().calls.clone()
@@ -145,20 +160,24 @@
             .route("/fake/faults", put(put_faults))
             .route("/fake/hosts", put(put_hosts))
             .route("/fake/calls", get(get_calls))
+            .route("/fake/backup", put(put_backup))
+            .route("/fake/restore", put(put_restore))
             .with_state(self)
     }
 
     /// Shows the faults that come before a call takes effect.
     async fn enter(&self, count: impl FnOnce(&mut Calls)) -> Result<(), StatusCode> {
-        let faults = {
+        let (faults, is_list) = {
             let mut shelf = self.shelf.lock();
+            let lists_before = shelf.calls.host_lists;
             count(&mut shelf.calls);
-            shelf.faults.clone()
+            let is_list = shelf.calls.host_lists > lists_before;
+            (shelf.faults.clone(), is_list)
         };
         if faults.slow_ms > 0 {
             sleep(Duration::from_millis(faults.slow_ms)).await;
         }
-        if faults.down {
+        if faults.down || (faults.store_down && !is_list) {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
         Ok(())
@@ -265,7 +284,7 @@
             changed.as_mut().enable();
             {
                 let mut shelf = platform.shelf.lock();
-                if shelf.faults.down {
+                if shelf.faults.down || shelf.faults.store_down {
                     return Err(StatusCode::SERVICE_UNAVAILABLE);
                 }
                 if let Some(entry) = shelf.live_entry(&key) {
@@ -334,6 +353,16 @@
     StatusCode::NO_CONTENT
 }
 
+async fn put_backup(State(platform): State<FakePlatform>) -> StatusCode {
+    platform.back_up();
+    StatusCode::NO_CONTENT
+}
+
+async fn put_restore(State(platform): State<FakePlatform>) -> StatusCode {
+    platform.restore();
+    StatusCode::NO_CONTENT
+}
+
 async fn get_calls(State(platform): State<FakePlatform>) -> Json<Calls> {
     Json(platform.calls())
 }
