--- a/crates/process/host/src/shared.rs
+++ b/crates/process/host/src/shared.rs
@@ -2,10 +2,16 @@
 
 use {
     crate::{
-        claims::Claims, config::Refused, life::LifeWatch, members::Members, peer::Peers,
-        relay::pool::Pools, Settings,
+        claims::Claims,
+        config::Refused,
+        life::LifeWatch,
+        members::Members,
+        peer::Peers,
+        relay::{gate::Gates, pool::Pools},
+        Settings,
     },
     meter::Metrics,
+    plan::Groups,
     record::InForce,
     std::sync::Arc,
     store::HttpPlatform,
@@ -23,6 +29,8 @@
     pub(crate) members: Members,
     pub(crate) peers: Peers,
     pub(crate) pools: Pools,
+    pub(crate) groups: Groups,
+    pub(crate) gates: Gates,
     pub(crate) life: Arc<LifeWatch>,
 }
 
--- a/crates/process/meter/src/metrics.rs
+++ b/crates/process/meter/src/metrics.rs
@@ -29,6 +29,17 @@
     pub outcome: &'a str,
 }
 
+/// What a call to an upstream is counted under.
+#[derive(Clone, Copy, Debug)]
+pub struct LeafLabels<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Why the call was made.
+    pub cause: &'static str,
+    /// `ok`, or why there is no reply.
+    pub outcome: &'static str,
+}
+
 /// Instruments of a host.
 pub struct Metrics {
     registry: Registry,
@@ -36,9 +47,13 @@
     _provider: SdkMeterProvider,
     query_latency_ms: Histogram<f64>,
     leaf_calls: Counter<u64>,
+    leaf_latency_ms: Histogram<f64>,
     revision: Gauge<u64>,
     store_reverted: Gauge<u64>,
     events: Counter<u64>,
+    gate_wait_ms: Histogram<f64>,
+    gate_refusals: Counter<u64>,
+    gate_window: Gauge<u64>,
 }
 
 impl Metrics {
@@ -64,6 +79,11 @@
                 .u64_counter("wharf_leaf_calls")
                 .with_description("Calls to upstreams, by service and cause")
                 .build(),
+            leaf_latency_ms: meter
+                .f64_histogram("wharf_leaf_latency_ms")
+                .with_description("Latency of calls to upstreams, by service, cause and outcome")
+                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+                .build(),
             revision: meter
                 .u64_gauge("wharf_config_revision")
                 .with_description("Revision of the configuration in force on this host")
@@ -76,6 +96,19 @@
                 .u64_counter("wharf_events")
                 .with_description("Events of the parts of the host, by part and event")
                 .build(),
+            gate_wait_ms: meter
+                .f64_histogram("wharf_gate_wait_ms")
+                .with_description("Wait of admitted queries at the gate, by service and rank")
+                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+                .build(),
+            gate_refusals: meter
+                .u64_counter("wharf_gate_refusals")
+                .with_description("Queries refused at the gate, by service, rank and kind")
+                .build(),
+            gate_window: meter
+                .u64_gauge("wharf_gate_window")
+                .with_description("Queries of a service that this relay runs at once")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -101,6 +134,17 @@
         self.leaf_calls.add(1, &labels);
     }
 
+    /// Counts the end of a call to an upstream with its latency.
+    pub fn on_leaf_end(&self, labels: LeafLabels<'_>, latency: Duration) {
+        let labels = [
+            KeyValue::new("service", labels.service.to_owned()),
+            KeyValue::new("cause", labels.cause),
+            KeyValue::new("outcome", labels.outcome),
+        ];
+        self.leaf_latency_ms
+            .record(latency.as_secs_f64() * 1_000.0, &labels);
+    }
+
     /// Records the revision in force.
     pub fn on_revision(&self, revision: u64) {
         self.revision.record(revision, &[]);
@@ -117,6 +161,32 @@
         self.events.add(1, &labels);
     }
 
+    /// Counts a query that the gate admitted, with its wait.
+    pub fn on_gate_admit(&self, service: &str, rank: Rank, wait: Duration) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("rank", rank.as_str()),
+        ];
+        self.gate_wait_ms
+            .record(wait.as_secs_f64() * 1_000.0, &labels);
+    }
+
+    /// Counts a query that the gate refused.
+    pub fn on_gate_refusal(&self, service: &str, rank: Rank, kind: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("rank", rank.as_str()),
+            KeyValue::new("kind", kind),
+        ];
+        self.gate_refusals.add(1, &labels);
+    }
+
+    /// Records the window of a service.
+    pub fn on_gate_window(&self, service: &str, window: usize) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.gate_window.record(window as u64, &labels);
+    }
+
     /// Returns the Prometheus exposition.
     ///
     /// # Errors
--- a/crates/process/store/tests/claim.rs
+++ b/crates/process/store/tests/claim.rs
@@ -36,7 +36,7 @@
                 let written = has_effect.then(|| store.put(KEY, expected, bytes));
                 ClaimEvent::Written(match fault {
                     Some(fault) => Err(fault),
-                    None => written.unwrap(),
+                    None => written.expect("a valid value"),
                 })
             }
             ClaimStep::Done(result) => return result,
@@ -162,7 +162,7 @@
     let bytes = won.claim.with_outcome(outcome.clone()).to_bytes();
     store
         .put(KEY, Expected::At(won.key_revision), bytes)
-        .unwrap();
+        .expect("a valid value");
     outcome
 }
 
--- a/crates/process/store/tests/commit.rs
+++ b/crates/process/store/tests/commit.rs
@@ -28,11 +28,11 @@
         r#"{{"schema_version":2,"name":"{name}","version":1,"route":{{"service":"s",
         "repeatable":true,"default_deadline_ms":{deadline_ms},"max_deadline_ms":9000}}}}"#
     ))
-    .unwrap()
+    .expect("a valid value")
 }
 
 fn put(name: &str, deadline_ms: u64, operation_id: &str) -> Commit {
-    Commit::put(&raw(name, deadline_ms), stamp(operation_id)).unwrap()
+    Commit::put(&raw(name, deadline_ms), stamp(operation_id)).expect("a valid value")
 }
 
 fn answer(store: &mut MemoryStore, step: &CommitStep, fate: Fate) -> CommitEvent {
@@ -54,7 +54,7 @@
             let written = has_effect.then(|| store.put(key, *expected, bytes.clone()));
             match fault {
                 Some(fault) => CommitEvent::Written(Err(fault)),
-                None => CommitEvent::Written(written.unwrap()),
+                None => CommitEvent::Written(written.expect("a valid value")),
             }
         }
         CommitStep::Done(_) => panic!("the commit has ended"),
@@ -76,7 +76,7 @@
 
 fn head(store: &MemoryStore) -> Head {
     store.get(HEAD_KEY).map_or_else(Head::default, |value| {
-        Head::from_json(&value.bytes).unwrap()
+        Head::from_json(&value.bytes).expect("a valid value")
     })
 }
 
@@ -228,7 +228,7 @@
         let is_head = matches!(&step, CommitStep::Write { key, .. } if key == HEAD_KEY);
         if is_head {
             if let Some(second) = second.take() {
-                run(store, second, &[]).unwrap();
+                run(store, second, &[]).expect("a valid value");
             }
         }
         let event = answer(store, &step, Fate::Fine);
--- a/crates/version/record/tests/adopt.rs
+++ b/crates/version/record/tests/adopt.rs
@@ -22,7 +22,8 @@
         id: id("shortfall"),
         body_key: format!("body-{operation_id}"),
     };
-    head.with_change(&change, &stamp(operation_id)).unwrap()
+    head.with_change(&change, &stamp(operation_id))
+        .expect("a valid value")
 }
 
 fn stamp(operation_id: &str) -> Stamp {
@@ -36,7 +37,9 @@
     let change = Change::Recover {
         held: Arc::new(held.clone()),
     };
-    store.with_change(&change, &stamp("recovery")).unwrap()
+    store
+        .with_change(&change, &stamp("recovery"))
+        .expect("a valid value")
 }
 
 #[test]
