--- a/crates/process/host/src/lib.rs
+++ b/crates/process/host/src/lib.rs
@@ -5,6 +5,7 @@
 //! carries actions out.
 
 mod admin;
+mod claims;
 mod config;
 mod entry;
 mod life;
@@ -16,6 +17,7 @@
 mod shared;
 
 pub use crate::{
+    config::MAX_LOOK_TIME,
     run::{run, RunningHost},
     settings::{RawSettings, Settings},
 };
--- a/crates/process/host/src/shared.rs
+++ b/crates/process/host/src/shared.rs
@@ -2,6 +2,8 @@
 
 use {
     crate::{
+        claims::Claims,
+        config::Refused,
         life::LifeWatch,
         members::Members,
         peer::Peers,
@@ -23,6 +25,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) platform: HttpPlatform,
     pub(crate) config: watch::Sender<Arc<InForce>>,
+    pub(crate) refused: Refused,
+    pub(crate) claims: Claims,
     pub(crate) members: Members,
     pub(crate) peers: Peers,
     pub(crate) pools: Pools,
