--- a/crates/process/host/src/entry/query.rs
+++ b/crates/process/host/src/entry/query.rs
@@ -183,10 +183,10 @@
         match answer {
             Ok(answer) if answer.request_id == call.request_id => return Ok(answer),
             Ok(_) => {
-                last_error = Error::new(Kind::HostLost, "the relay answered another request");
-                if !route.repeatable {
-                    return Err(last_error);
-                }
+                return Err(Error::new(
+                    Kind::Internal,
+                    "the relay answered another request",
+                ))
             }
             Err(error) if may_try_next(route, &error) => last_error = error,
             Err(error) => return Err(error),
