--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -11,6 +11,7 @@
     fleet::{QueryAnswer, QueryCall},
     futures::{
         future::{AbortHandle, Abortable},
+        poll,
         stream::{FuturesUnordered, StreamExt},
     },
     kind::{Error, Kind, Result},
@@ -24,6 +25,8 @@
     std::{
         collections::HashMap,
         future::Future,
+        pin::pin,
+        task::Poll,
         time::{Duration, Instant},
     },
     tokio::{select, time::sleep_until},
@@ -53,7 +56,15 @@
         deadline: now + Duration::from_millis(call.time_left_ms),
         is_repeatable: route.repeatable,
     };
-    let place = gate::admit(shared, &service, &call, limits.deadline).await?;
+    let group = shared.groups.get(&service.name);
+    let mut admission = pin!(gate::admit(shared, &service, &call, limits.deadline));
+    let place = match poll!(admission.as_mut()) {
+        Poll::Ready(place) => place?,
+        Poll::Pending => {
+            group.on_wait(now);
+            admission.await?
+        }
+    };
     let run = Run {
         shared,
         tally: Tally::default(),
@@ -66,7 +77,7 @@
     let gather = Gather::new(request_id, pin, limits)
         .with_coverage(route.coverage)
         .with_hedge(route.hedge)
-        .with_group(shared.groups.get(&service.name));
+        .with_group(group);
     let answer = run.drive(gather).await;
     place.complete(run.tally);
     Ok(QueryAnswer::new(
--- a/crates/request/plan/src/gather.rs
+++ b/crates/request/plan/src/gather.rs
@@ -293,7 +293,7 @@
             self.ran = self.ran.and(failure.ran);
         }
         match failure.reason {
-            Reason::Shed => self.group.on_overload(step.now),
+            Reason::Shed => self.group.on_shed(step.now),
             Reason::VersionGone => self.versions.on_stated(failure.newest_version),
             _ => {}
         }
--- a/crates/request/plan/src/group.rs
+++ b/crates/request/plan/src/group.rs
@@ -28,8 +28,13 @@
 const MAX_RETRY_TOKENS: f64 = 20.0;
 /// Most hedges saved up.
 const MAX_HEDGE_TOKENS: f64 = 20.0;
-/// Time for which no hedge is made after a sign of overload.
-const OVERLOAD_PAUSE: Duration = Duration::from_secs(1);
+/// Time for which no hedge is made after a server has shed.
+const SHED_PAUSE: Duration = Duration::from_secs(1);
+/// Time for which no hedge is made after a query had to wait for its turn.
+/// Slow servers make queries wait too, so a long pause would keep them slow.
+const WAIT_PAUSE: Duration = Duration::from_millis(20);
+/// Weight of a new sample in the mean number of calls under way.
+const LOAD_WEIGHT: f64 = 0.1;
 
 /// Groups of all services, by name.
 #[derive(Debug, Default)]
@@ -56,6 +61,7 @@
     hedges: Mutex<Budget>,
     retries: Mutex<Budget>,
     in_flight: AtomicUsize,
+    mean_in_flight: Mutex<f64>,
     overloaded_until: Mutex<Option<Instant>>,
 }
 
@@ -67,6 +73,7 @@
             hedges: Mutex::new(Budget::new(0.0, MAX_HEDGE_TOKENS)),
             retries: Mutex::new(Budget::new(MAX_RETRY_TOKENS, MAX_RETRY_TOKENS)),
             in_flight: AtomicUsize::new(0),
+            mean_in_flight: Mutex::default(),
             overloaded_until: Mutex::default(),
         }
     }
@@ -83,8 +90,15 @@
 }
 
 impl Group {
-    /// Earns budget for a number of first calls.
+    /// Earns budget for a number of first calls, and looks at the load that they meet.
+    ///
+    /// Calls come in bursts of a whole query, so the number under way says
+    /// little at one moment; its mean over the starts of queries does.
     pub(crate) fn on_first_calls(&self, calls: usize, hedge_share: f64) {
+        let in_flight = self.in_flight.load(Ordering::Relaxed) as f64;
+        let mut mean = self.mean_in_flight.lock();
+        *mean += (in_flight - *mean) * LOAD_WEIGHT;
+        drop(mean);
         self.hedges.lock().earn(calls, hedge_share);
         self.retries.lock().earn(calls, RETRY_SHARE);
     }
@@ -112,9 +126,19 @@
         }
     }
 
-    /// Takes a sign that the servers have more work than they can do.
-    pub(crate) fn on_overload(&self, now: Instant) {
-        *self.overloaded_until.lock() = Some(now + OVERLOAD_PAUSE);
+    /// Takes the refusal of a server that has more work than it can do.
+    pub(crate) fn on_shed(&self, now: Instant) {
+        self.pause_hedges(now + SHED_PAUSE);
+    }
+
+    /// Takes a sign that queries have to wait for their turn.
+    pub fn on_wait(&self, now: Instant) {
+        self.pause_hedges(now + WAIT_PAUSE);
+    }
+
+    fn pause_hedges(&self, until: Instant) {
+        let mut overloaded_until = self.overloaded_until.lock();
+        *overloaded_until = (*overloaded_until).max(Some(until));
     }
 
     /// Returns a quantile of recent latency, once enough is known.
@@ -127,15 +151,13 @@
         self.speeds.is_left_out(server, now)
     }
 
-    /// Notes overload if calls under way exceed `capacity`, and returns whether there is any.
+    /// Returns whether there is a recent sign of overload, or more calls are under way than `capacity`.
     pub(crate) fn is_overloaded(&self, capacity: usize, now: Instant) -> bool {
-        if self.in_flight.load(Ordering::Relaxed) > capacity {
-            self.on_overload(now);
-            return true;
-        }
-        self.overloaded_until
+        let has_sign = self
+            .overloaded_until
             .lock()
-            .is_some_and(|until| now < until)
+            .is_some_and(|until| now < until);
+        has_sign || *self.mean_in_flight.lock() > capacity as f64
     }
 
     /// Spends the budget of one hedge, if there is any.
--- a/crates/request/plan/src/speed.rs
+++ b/crates/request/plan/src/speed.rs
@@ -25,7 +25,7 @@
 /// Number of latencies before a server is judged.
 const MIN_SAMPLES: u32 = 4;
 /// Time for which a slow server is left out before one call tries it again.
-const PROBE_EVERY: Duration = Duration::from_secs(2);
+const PROBE_EVERY: Duration = Duration::from_secs(5);
 
 /// Mean latencies of servers, in shards with a lock each.
 #[derive(Debug, Default)]
