--- a/crates/process/host/src/relay/leaf.rs
+++ b/crates/process/host/src/relay/leaf.rs
@@ -1,20 +1,33 @@
 //! One call to one upstream server over HTTP.
 
 use {
-    crate::relay::pool::{CheckoutError, Pool},
-    bytes::Bytes,
-    http::{header, HeaderValue, Method, Request, StatusCode},
-    http_body_util::{BodyExt, Full},
+    crate::{
+        relay::{
+            exchange::{exchange, LeafRequest},
+            pool::Pool,
+            upstreams::CallGuard,
+        },
+        shared::Shared,
+    },
+    http::StatusCode,
     kind::Ran,
     plan::{AttemptId, LeafCall, LeafFault, LeafReply, Reason, Refusal, RequestId},
     record::{IndexVersion, ShardId},
     serde::{Deserialize, Serialize},
     serde_json::value::RawValue,
+    std::{sync::Arc, time::Instant},
 };
 
 /// The reply of a server to one call.
 pub(crate) type Reply = LeafReply<Box<RawValue>>;
 
+/// Where a call goes.
+pub(crate) struct Target<'a> {
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) shared: &'a Shared,
+    pub(crate) is_repeatable: bool,
+}
+
 /// A call as upstreams read it.
 #[derive(Serialize)]
 pub(crate) struct WireCall<'a> {
@@ -64,55 +77,36 @@
 ///
 /// Returns the point at which the call failed.
 pub(crate) async fn call(
-    pool: &Pool,
+    target: &Target<'_>,
     request_id: RequestId,
     call: &LeafCall,
     wire: &WireCall<'_>,
 ) -> Result<Reply, LeafFault> {
-    let request = build_request(pool, call, wire).ok_or(LeafFault::NotWritten)?;
-    let mut connection = pool.checkout().await.map_err(|error| match error {
-        CheckoutError::Refused => LeafFault::NoConnection,
-    })?;
-    let sent = connection.sender.try_send_request(request).await;
-    let response = sent.map_err(|mut error| match error.take_message() {
-        // A request that comes back was never written.
-        Some(_) => LeafFault::NotWritten,
-        None => LeafFault::LostAfterWrite,
-    })?;
-    let status = response.status();
-    let body = response
-        .into_body()
-        .collect()
+    let is_repeatable = target.is_repeatable;
+    let request = build_request(call, wire, is_repeatable).ok_or(LeafFault::NotWritten)?;
+    let mut guard = CallGuard::new(target.shared, call.server, is_repeatable);
+    let exchanged = exchange(&target.pool, &request)
         .await
-        .map_err(|_| LeafFault::LostInReply)?
-        .to_bytes();
-    let result = read_reply(status, &body, request_id, call);
+        .inspect_err(|fault| guard.on_fault(*fault))?;
+    let result = read_reply(exchanged.status, &exchanged.body, request_id, call);
+    guard.on_exchanged(&exchanged, result.as_ref().err().copied());
     if result
         .as_ref()
         .err()
         .is_none_or(|fault| fault.keeps_connection())
     {
-        connection.give_back();
+        exchanged.connection.give_back();
     }
     result
 }
 
-fn build_request(
-    pool: &Pool,
-    call: &LeafCall,
-    wire: &WireCall<'_>,
-) -> Option<Request<Full<Bytes>>> {
-    let body = serde_json::to_vec(wire).ok()?;
-    Request::builder()
-        .method(Method::POST)
-        .uri(format!("/v1/shards/{}/search", call.shard))
-        .header(header::HOST, pool.host_header())
-        .header(
-            header::CONTENT_TYPE,
-            HeaderValue::from_static("application/json"),
-        )
-        .body(Full::new(Bytes::from(body)))
-        .ok()
+fn build_request(call: &LeafCall, wire: &WireCall<'_>, is_repeatable: bool) -> Option<LeafRequest> {
+    Some(LeafRequest {
+        uri: format!("/v1/shards/{}/search", call.shard).parse().ok()?,
+        body: serde_json::to_vec(wire).ok()?.into(),
+        is_repeatable,
+        deadline: Instant::now() + call.time_left,
+    })
 }
 
 fn read_reply(
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -3,8 +3,11 @@
 use {
     crate::{
         relay::{
-            gate::{self, Tally},
-            leaf,
+            canary,
+            gate::{self, Place, Tally},
+            leaf::{self, Target},
+            upkeep,
+            upstreams::Picker,
         },
         shared::Shared,
     },
@@ -15,12 +18,13 @@
         stream::{FuturesUnordered, StreamExt},
     },
     kind::{Error, Kind, Result},
+    link::Fingerprint,
     meter::LeafLabels,
     plan::{
-        Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFailure, LeafFault, Limits, Pin,
-        Reason, RequestId, Upstreams,
+        Action, Answer, AttemptId, Event, Gather, Group, LeafCall, LeafFailure, LeafFault, Limits,
+        Pin, Reason, RequestId,
     },
-    record::{ServerAddr, Shard},
+    record::Service,
     serde_json::value::RawValue,
     std::{
         collections::HashMap,
@@ -56,23 +60,21 @@
         deadline: now + Duration::from_millis(call.time_left_ms),
         is_repeatable: route.repeatable,
     };
+    let fingerprint = link::fingerprint(&route.name, call.query.get());
+    canary::check(shared, fingerprint)?;
     let group = shared.groups.get(&service.name);
-    let mut admission = pin!(gate::admit(shared, &service, &call, limits.deadline));
-    let place = match poll!(admission.as_mut()) {
-        Poll::Ready(place) => place?,
-        Poll::Pending => {
-            group.on_wait(now);
-            admission.await?
-        }
-    };
+    let place = admit(shared, &service, &call, &limits, &group).await?;
     let run = Run {
         shared,
         tally: Tally::default(),
         service: &service.name,
+        route: &route.name,
         request_id,
         wire_request_id: &call.request_id,
         query: &call.query,
-        connection_limit: service.connection_limit,
+        share: upkeep::share_of(shared, &service),
+        is_repeatable: route.repeatable,
+        fingerprint,
     };
     let gather = Gather::new(request_id, pin, limits)
         .with_coverage(route.coverage)
@@ -87,34 +89,43 @@
     ))
 }
 
+/// Waits for the query's turn; a query that has to wait is a sign of load.
+async fn admit(
+    shared: &Shared,
+    service: &Service,
+    call: &QueryCall,
+    limits: &Limits,
+    group: &Group,
+) -> Result<Place> {
+    let mut admission = pin!(gate::admit(shared, service, call, limits.deadline));
+    match poll!(admission.as_mut()) {
+        Poll::Ready(place) => place,
+        Poll::Pending => {
+            group.on_wait(Instant::now());
+            admission.await
+        }
+    }
+}
+
 struct Run<'a> {
     shared: &'a Shared,
     tally: Tally,
     service: &'a str,
+    route: &'a str,
     request_id: RequestId,
     wire_request_id: &'a str,
     query: &'a RawValue,
-    connection_limit: u32,
-}
-
-/// Picks servers in the order of the record.
-struct InOrder;
-
-impl Upstreams for InOrder {
-    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], _: Instant) -> Option<ServerAddr> {
-        let mut servers = shard.servers.iter().map(|server| server.addr);
-        servers
-            .clone()
-            .find(|s| !tried.contains(s))
-            .or_else(|| servers.next())
-    }
+    share: u32,
+    is_repeatable: bool,
+    fingerprint: Fingerprint,
 }
 
 impl Run<'_> {
     async fn drive(&self, mut gather: Gather<Rows>) -> Answer<Rows> {
         let mut calls = FuturesUnordered::new();
         let mut handles: HashMap<AttemptId, AbortHandle> = HashMap::new();
-        let mut actions = gather.start(&mut InOrder, Instant::now());
+        let mut upstreams = Picker(&self.shared.servers);
+        let mut actions = gather.start(&mut upstreams, Instant::now());
         loop {
             for action in actions {
                 match action {
@@ -133,7 +144,7 @@
             }
             let event = next_event(&mut calls, gather.next_wake()).await;
             self.offer_newest_record(&event, &mut gather);
-            actions = gather.on_event(event, &mut InOrder, Instant::now());
+            actions = gather.on_event(event, &mut upstreams, Instant::now());
         }
     }
 
@@ -147,15 +158,28 @@
         }
     }
 
-    async fn make_call(&self, call: LeafCall) -> Event<Rows> {
+    async fn make_call(&self, mut call: LeafCall) -> Event<Rows> {
+        let asked = Instant::now();
+        let canaries = &self.shared.canaries;
+        let Ok(cleared) = canaries.clear(self.fingerprint, call.server).await else {
+            let failure = failed(&call, canary::held_back());
+            return Event::Failed(call.attempt_id, failure);
+        };
+        call.time_left = call.time_left.saturating_sub(asked.elapsed());
         let cause = call.cause.as_str();
         self.shared.metrics.on_leaf_call(self.service, cause);
         let began = Instant::now();
         let wire = leaf::WireCall::new(self.wire_request_id, &call, self.query);
-        let pool = self.shared.pools.get(call.server, self.connection_limit);
-        let result = leaf::call(&pool, self.request_id, &call, &wire)
-            .await
-            .map_err(|fault| failed(&call, fault));
+        let target = Target {
+            pool: self.shared.pools.get(call.server, self.share),
+            shared: self.shared,
+            is_repeatable: self.is_repeatable,
+        };
+        let result = leaf::call(&target, self.request_id, &call, &wire).await;
+        if cleared.on_end(result.as_ref().err().copied()) {
+            canary::on_quarantine(self.shared, self.route, self.fingerprint);
+        }
+        let result = result.map_err(|fault| failed(&call, fault));
         let latency = began.elapsed();
         let reason = result.as_ref().err().map(|failure| failure.reason);
         self.tally.add(latency, reason);
--- a/crates/request/plan/tests/sim/mod.rs
+++ b/crates/request/plan/tests/sim/mod.rs
@@ -163,7 +163,7 @@
     sim.at(Duration::ZERO, Happening::Arrive);
     while let Some(Reverse((now, _, happening))) = sim.events.pop() {
         sim.now = now;
-        sim.happen(happening);
+        sim.happen(&happening);
     }
     sim.report
 }
@@ -208,8 +208,8 @@
         self.setup.is_outage && self.now >= self.setup.time / 2
     }
 
-    fn happen(&mut self, happening: Happening) {
-        match happening {
+    fn happen(&mut self, happening: &Happening) {
+        match *happening {
             Happening::Arrive => self.arrive(),
             Happening::Reach(name) => self.reach(name),
             Happening::Cancelled(name) => {
--- a/crates/test/fakes/src/upstream.rs
+++ b/crates/test/fakes/src/upstream.rs
@@ -26,7 +26,7 @@
         io,
         net::SocketAddr,
         sync::{
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicU64, AtomicUsize, Ordering},
             Arc,
         },
         time::Duration,
@@ -109,6 +109,8 @@
     pub cancelled: u64,
     /// Calls refused without execution.
     pub refused: u64,
+    /// Calls refused without execution, by server.
+    pub refused_by: BTreeMap<SocketAddr, u64>,
     /// Connections refused at the limit.
     pub refused_connections: u64,
     /// Most connections held by one server at once.
@@ -117,6 +119,19 @@
     pub crashes: u64,
 }
 
+impl Seen {
+    /// Returns the number of pairs of request and shard that ran; a call that
+    /// is repeated or hedged counts once.
+    pub fn shards_run(&self) -> u64 {
+        let pairs: HashSet<_> = self
+            .runs
+            .keys()
+            .filter_map(|key| key.rsplit_once('/').map(|(pair, _server)| pair))
+            .collect();
+        pairs.len() as u64
+    }
+}
+
 #[derive(Deserialize)]
 struct LeafCall {
     request_id: String,
@@ -137,6 +152,8 @@
     addr: SocketAddr,
     behaviour: Mutex<Behaviour>,
     silent_before: Mutex<HashSet<u64>>,
+    newest_connection: AtomicU64,
+    silent_up_to: AtomicU64,
     open_connections: AtomicUsize,
     waiting: AtomicUsize,
     slots: Semaphore,
@@ -190,6 +207,14 @@
         }
     }
 
+    /// Silences the connections that are open now; later ones work.
+    pub fn silence_open_connections(&self) {
+        for server in self.servers.values() {
+            let newest = server.newest_connection.load(Ordering::SeqCst);
+            server.silent_up_to.store(newest, Ordering::SeqCst);
+        }
+    }
+
     /// Serves the control path on `listener` until the process ends.
     ///
     /// # Errors
@@ -198,6 +223,7 @@
     pub async fn serve_control(self, listener: TcpListener) -> io::Result<()> {
         let router = Router::new()
             .route("/fake/seen", get(get_seen))
+            .route("/fake/silence", put(put_silence))
             .route("/fake/behaviour", put(put_behaviour))
             .route("/fake/behaviour/{addr}", put(put_one_behaviour))
             .with_state(self);
@@ -212,6 +238,8 @@
             slots: Semaphore::new(behaviour.slots),
             behaviour: Mutex::new(behaviour),
             silent_before: Mutex::default(),
+            newest_connection: AtomicU64::new(0),
+            silent_up_to: AtomicU64::new(0),
             open_connections: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             crashed: Mutex::new(false),
@@ -246,6 +274,7 @@
     let mut next_id = 0;
     while let Ok((stream, _)) = listener.accept().await {
         next_id += 1;
+        server.newest_connection.store(next_id, Ordering::SeqCst);
         let limit = server.behaviour.lock().connection_limit;
         let open = server.open_connections.load(Ordering::SeqCst);
         if *server.crashed.lock() || open >= limit {
@@ -292,10 +321,15 @@
             silent_before.insert(self.id);
         }
         silent_before.contains(&self.id)
+            || self.id <= self.server.silent_up_to.load(Ordering::SeqCst)
     }
 
     fn refuse(&self, status: StatusCode, kind: &str, call: Option<&LeafCall>) -> Response {
-        self.all.seen.lock().refused += 1;
+        {
+            let mut seen = self.all.seen.lock();
+            seen.refused += 1;
+            *seen.refused_by.entry(self.server.addr).or_default() += 1;
+        }
         let newest = self
             .server
             .behaviour
@@ -418,6 +452,9 @@
 }
 
 async fn health(State(connection): State<Connection>) -> StatusCode {
+    if connection.is_silent() {
+        pending::<()>().await;
+    }
     let behaviour = connection.server.behaviour.lock();
     if behaviour.health_lies || !behaviour.is_draining {
         StatusCode::OK
@@ -427,6 +464,9 @@
 }
 
 async fn load(State(connection): State<Connection>) -> Json<Value> {
+    if connection.is_silent() {
+        pending::<()>().await;
+    }
     let slots = connection.server.behaviour.lock().slots;
     let in_use = slots.saturating_sub(connection.server.slots.available_permits());
     Json(json!({ "slots": slots, "in_use": in_use }))
@@ -436,6 +476,11 @@
     Json(all.seen())
 }
 
+async fn put_silence(State(all): State<FakeUpstreams>) -> StatusCode {
+    all.silence_open_connections();
+    StatusCode::NO_CONTENT
+}
+
 async fn put_behaviour(
     State(all): State<FakeUpstreams>,
     Json(behaviour): Json<Behaviour>,
