Model check commit, adoption and claims, and mend what it found

Found by the search, causes and mends: - A repeat that met a store that was down said 'not run', although the first call, of unknown outcome, had committed (6 steps). A repeat now says that it is one (x-wharf-repeat, sent by wharfctl), and its failures stay unknown. - A commit whose reply was lost, then the store restored: reading back found no operation and called it refused; a recovery brought it back (8 steps). The head read back must descend from the one written on, else unknown. - A repeat on a restored store was refused for good, same way; now unknown.

--- a/crates/bin/wharfctl/src/change.rs
+++ b/crates/bin/wharfctl/src/change.rs
@@ -173,12 +173,15 @@
         .get_one::<String>("operation-id")
         .cloned()
         .unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
-    let call = Call {
+    let mut call = Call {
         method: change.method,
         path: change.path,
         body: change.body,
         headers: headers(matches, &operation_id),
     };
+    if matches.contains_id("operation-id") {
+        call.headers.push(repeat_header());
+    }
     for attempt in 1..=MAX_CALLS {
         let failure = match api.send(&call).await {
             Ok(reply) if reply.status.is_success() => return Ok(reply.text),
@@ -193,10 +196,16 @@
         }
         eprintln!("{failure:#}; repeating operation {operation_id}");
         sleep(REPEAT_PAUSE * attempt).await;
+        call.headers.push(repeat_header());
     }
     bail!("no call was made")
 }
 
+/// Returns the header by which a repeat says that it is one.
+fn repeat_header() -> (&'static str, String) {
+    ("x-wharf-repeat", "true".to_owned())
+}
+
 /// Returns whether the outcome is unknown or may be another after a pause.
 fn may_repeat(status: StatusCode) -> bool {
     matches!(
--- a/crates/process/host/src/admin/headers.rs
+++ b/crates/process/host/src/admin/headers.rs
@@ -8,6 +8,8 @@
 
 /// Header with the identifier of an operation; a repeat carries the same.
 const OPERATION_HEADER: &str = "x-wharf-operation-id";
+/// Header by which a repeat says that it is one.
+const REPEAT_HEADER: &str = "x-wharf-repeat";
 /// Header with the name of the operator.
 const OPERATOR_HEADER: &str = "x-wharf-operator";
 /// Operator of a change that names none.
@@ -41,6 +43,11 @@
     })
 }
 
+/// Tells whether an earlier call of the same operation may have committed it.
+pub(crate) fn is_repeat(headers: &HeaderMap) -> bool {
+    headers.contains_key(REPEAT_HEADER)
+}
+
 /// Reads what the operator expects to find.
 ///
 /// # Errors
--- a/crates/process/host/src/admin/records.rs
+++ b/crates/process/host/src/admin/records.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        admin::headers::{head_tag, precondition, record_tag, stamp},
+        admin::headers::{head_tag, is_repeat, precondition, record_tag, stamp},
         config,
         entry::Problem,
         shared::Shared,
@@ -189,9 +189,12 @@
     change: Commit,
 ) -> Result<Json<Accepted>, Problem> {
     let held: HeadId = shared.in_force().head().id();
-    let change = change
+    let mut change = change
         .with_precondition(precondition(headers)?)
         .with_held(held);
+    if is_repeat(headers) {
+        change = change.as_repeat();
+    }
     let stamp = change.stamp().clone();
     let what = change.change().to_string();
     let result = commit(&shared.platform, change).await;
--- a/crates/process/store/src/commit.rs
+++ b/crates/process/store/src/commit.rs
@@ -91,6 +91,7 @@
     next: Option<Head>,
     looks: u32,
     is_unsettled: bool,
+    is_repeat: bool,
 }
 
 impl Commit {
@@ -107,6 +108,7 @@
             next: None,
             looks: 0,
             is_unsettled: false,
+            is_repeat: false,
         }
     }
 
@@ -166,6 +168,13 @@
         self
     }
 
+    /// States that an earlier call of the same operation may have committed it,
+    /// or may still do so. What fails is then unknown until the head tells more.
+    pub fn as_repeat(mut self) -> Self {
+        self.is_repeat = true;
+        self
+    }
+
     /// Returns who makes the change, under which identifier.
     pub fn stamp(&self) -> &Stamp {
         &self.stamp
@@ -206,7 +215,7 @@
     /// Ends without knowing more than before.
     fn fail(&self, fault: Fault) -> CommitStep {
         let error = Error::from(fault);
-        CommitStep::Done(Err(if self.is_unsettled {
+        CommitStep::Done(Err(if self.is_unsettled || self.is_repeat {
             Error::new(
                 Kind::StoreUnknown,
                 format!(
@@ -261,15 +270,18 @@
 
     /// Checks that a lost write is known not to have taken effect.
     fn settle(&mut self, head: &Head) -> Result<()> {
-        let based_on = self.base.as_ref().map_or(0, |base| base.head.revision);
-        if self.is_unsettled && !head.names_all_since(based_on) {
-            return Err(Error::new(
-                Kind::StoreUnknown,
-                "too many operations since; compare the record in force with yours",
-            ));
-        }
-        self.is_unsettled = false;
-        Ok(())
+        let Some(base) = self.base.as_ref().filter(|_| self.is_unsettled) else {
+            return Ok(());
+        };
+        let detail = if judge(&base.head.id(), head, Source::Store) != Verdict::Adopt {
+            "the store was restored meanwhile; see 'wharfctl recover'"
+        } else if !head.names_all_since(base.head.revision) {
+            "too many operations since; compare the record in force with yours"
+        } else {
+            self.is_unsettled = false;
+            return Ok(());
+        };
+        Err(Error::new(Kind::StoreUnknown, detail))
     }
 
     /// Decides what to write on top of `head`.
@@ -277,8 +289,13 @@
         let is_recovery = matches!(self.change, Change::Recover { .. });
         let verdict = judge(&self.held, &head, Source::Store);
         if !is_recovery && matches!(verdict, Verdict::Reverted | Verdict::Forked) {
+            // What a repeat asks for may be among what the store has lost.
+            let kind = match self.is_repeat {
+                true => Kind::StoreUnknown,
+                false => Kind::StoreReverted,
+            };
             return Err(Error::new(
-                Kind::StoreReverted,
+                kind,
                 format!(
                     "the store shows revision {}, {} is in force; see 'wharfctl recover'",
                     head.revision, self.held.revision
--- a/crates/process/store/tests/commit.rs
+++ b/crates/process/store/tests/commit.rs
@@ -347,3 +347,30 @@
     let error = run(&mut MemoryStore::default(), commit, &[]).unwrap_err();
     assert_eq!(error.kind(), Kind::UnknownRecord);
 }
+
+#[test]
+fn a_repeat_is_never_called_a_failure_while_the_store_is_down() {
+    let mut store = MemoryStore::default();
+    let first = run(&mut store, put("a", 1, "op"), &[Fate::Down]);
+    assert_eq!(first.unwrap_err().kind(), Kind::StoreDown);
+    let repeat = put("a", 1, "op").as_repeat();
+    let second = run(&mut store, repeat, &[Fate::Down]);
+    assert_eq!(second.unwrap_err().kind(), Kind::StoreUnknown);
+}
+
+#[test]
+fn a_commit_across_a_restore_is_of_unknown_outcome() {
+    let mut store = MemoryStore::default();
+    run(&mut store, put("a", 1, "ada"), &[]).unwrap();
+    let before = store.get(HEAD_KEY).unwrap().bytes;
+    let mut commit = put("a", 2, "bob");
+    let mut step = commit.start();
+    for fate in [Fate::Fine, Fate::Fine, Fate::ReplyLost] {
+        step = commit.on_event(answer(&mut store, &step, fate));
+    }
+    store.overwrite(HEAD_KEY, before);
+    let CommitStep::Done(result) = commit.on_event(answer(&mut store, &step, Fate::Fine)) else {
+        panic!("the commit has not ended");
+    };
+    assert_eq!(result.unwrap_err().kind(), Kind::StoreUnknown);
+}
--- a/crates/test/model/src/lib.rs
+++ b/crates/test/model/src/lib.rs
@@ -1,1 +1,15 @@
 //! Model checking of commit, claims and snapshot pins.
+//!
+//! A [`Model`] lists what may happen next in a state, faults included, and
+//! says which states break a promise. [`explore`] visits every reachable state
+//! breadth first, so that a violation comes with its shortest trace. The rules
+//! are not written again here: the models call the decisions that hosts run.
+//!
+//! A model takes a mutant, which replaces one rule by a wrong one. A promise
+//! that no mutant breaks would prove nothing.
+
+pub mod claims;
+pub mod commit;
+mod explore;
+
+pub use crate::explore::{explore, Model, Report, Step, Violation};
