--- a/crates/test/fakes/src/process.rs
+++ b/crates/test/fakes/src/process.rs
@@ -11,9 +11,10 @@
     },
     anyhow::{bail, ensure, Context, Result},
     http::Method,
+    nix::unistd::{sysconf, SysconfVar},
     serde_json::json,
     std::{
-        env,
+        env, fs,
         net::{Ipv4Addr, SocketAddr, TcpListener},
         path::PathBuf,
         process::{Child, Command, Stdio},
@@ -30,6 +31,8 @@
 /// Ports of the fixture lie below those that the system gives out by itself.
 const FIRST_PORT: u32 = 12_000;
 const PORT_COUNT: u32 = 20_000;
+/// Place of the user time behind the name in `/proc/<pid>/stat`; the system time follows.
+const PROCESSOR_TIME_FIELD: usize = 11;
 /// Pause between two looks at something awaited.
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 /// Number of looks before something awaited counts as missing.
@@ -74,6 +77,41 @@
             .is_some_and(|status| status.success()))
     }
 
+    /// Returns the processor time that the process has used.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn processor_time(&self) -> Result<Duration> {
+        let text = fs::read_to_string(format!("/proc/{}/stat", self.pid()))?;
+        // The name in parentheses may hold spaces, so counting starts behind it.
+        let (_, fields) = text.rsplit_once(')').context("malformed status")?;
+        let ticks: u64 = fields
+            .split_whitespace()
+            .skip(PROCESSOR_TIME_FIELD)
+            .take(2)
+            .filter_map(|field| field.parse::<u64>().ok())
+            .sum();
+        let ticks_per_s = sysconf(SysconfVar::CLK_TCK)?.context("no clock tick")?;
+        Ok(Duration::from_secs_f64(ticks as f64 / ticks_per_s as f64))
+    }
+
+    /// Returns the resident memory of the process, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn resident_bytes(&self) -> Result<u64> {
+        let text = fs::read_to_string(format!("/proc/{}/statm", self.pid()))?;
+        let pages: u64 = text
+            .split_whitespace()
+            .nth(1)
+            .context("malformed memory status")?
+            .parse()?;
+        let page_bytes = sysconf(SysconfVar::PAGE_SIZE)?.context("no page size")?;
+        Ok(pages * page_bytes.unsigned_abs())
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         // Killing a process that has ended fails, and nothing is owed then.
@@ -286,6 +324,23 @@
     ///
     /// Returns an error if the platform does not answer.
     pub async fn publish_hosts(&self) -> Result<()> {
+        self.publish_leaving(&[]).await
+    }
+
+    /// Publishes the present hosts and upstreams that are leaving.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer.
+    pub async fn publish_leaving(&self, upstreams: &[SocketAddr]) -> Result<()> {
+        let leaving = upstreams.iter().map(|addr| ListedHost {
+            role: Role::Upstream,
+            id: format!("upstream-{}", addr.port()),
+            addr: *addr,
+            region: "region-0".to_owned(),
+            zone: "zone-0".to_owned(),
+            leaving: true,
+        });
         let hosts: Vec<_> = self
             .hosts
             .iter()
@@ -297,6 +352,7 @@
                 zone: host.zone.clone(),
                 leaving: false,
             })
+            .chain(leaving)
             .collect();
         let body = serde_json::to_string(&hosts)?;
         self.control(self.platform_addr, "/fake/hosts", body).await
@@ -439,6 +495,16 @@
         self.control(self.control_addr, &path, body).await
     }
 
+    /// Silences the connections that the upstreams hold now; later ones work.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the upstreams do not answer.
+    pub async fn silence_open_connections(&self) -> Result<()> {
+        self.control(self.control_addr, "/fake/silence", String::new())
+            .await
+    }
+
     /// Returns what the upstreams have seen.
     ///
     /// # Errors
