--- a/crates/bin/wharf/src/flags.rs
+++ b/crates/bin/wharf/src/flags.rs
@@ -40,6 +40,11 @@
             default_relays: *matches
                 .get_one("default-relays")
                 .context("--default-relays")?,
+            seed_peers: matches
+                .get_many::<String>("seed-peers")
+                .map(|seeds| seeds.cloned().collect())
+                .unwrap_or_default(),
+            max_drain_ms: *matches.get_one("max-drain-ms").context("--max-drain-ms")?,
         },
         log_level: text(&matches, "log-level")?,
         log_format: text(&matches, "log-format")?
@@ -138,6 +143,23 @@
             .default_value("2")
             .value_parser(value_parser!(u32)),
         )
+        .arg(
+            flag(
+                "seed-peers",
+                "WHARF_SEED_PEERS",
+                "Addresses of peers to begin with, separated by commas, for when the platform is down",
+            )
+            .value_delimiter(','),
+        )
+        .arg(
+            flag(
+                "max-drain-ms",
+                "WHARF_MAX_DRAIN_MS",
+                "Time after which a shutdown gives up what is in flight, in milliseconds",
+            )
+            .default_value("30000")
+            .value_parser(value_parser!(u64)),
+        )
         .arg(
             flag(
                 "log-level",
--- /dev/null
+++ b/crates/process/fleet/benches/exchange.rs
@@ -0,0 +1,35 @@
+//! Processor time of an exchange round and of a relay set at the planned size.
+
+#[allow(dead_code)]
+#[path = "../tests/net/mod.rs"]
+mod net;
+
+use {
+    criterion::{criterion_group, criterion_main, Criterion},
+    fleet::relay_set,
+    net::{member, Net},
+    std::hint::black_box,
+};
+
+const HOSTS: usize = 1_300;
+const REGIONS: usize = 5;
+const SEED: u64 = 1;
+
+fn bench(criterion: &mut Criterion) {
+    let members: Vec<_> = (0..HOSTS).map(|i| member(i, REGIONS)).collect();
+    criterion.bench_function("relay_set of 1,300 members", |bencher| {
+        bencher.iter(|| black_box(relay_set("restock-desk", black_box(&members), 10)));
+    });
+    let mut net = Net::new(HOSTS, REGIONS, SEED);
+    let _ = net.rounds_until(60, |net| net.everyone_knows(HOSTS));
+    criterion.bench_function("exchange round of 1,300 hosts, all of them", |bencher| {
+        bencher.iter(|| net.round());
+    });
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().sample_size(10);
+    targets = bench
+}
+criterion_main!(benches);
--- a/crates/process/fleet/src/lib.rs
+++ b/crates/process/fleet/src/lib.rs
@@ -1,16 +1,39 @@
 //! The fleet: membership, relay sets, peer exchange and host life.
+//!
+//! Everything here decides and does no I/O: time, random numbers and what
+//! peers say are passed in. [`Exchange`] is the state of membership on one
+//! host; [`relay_set`] picks the relays of a service; [`Choice`] orders them
+//! for one query; [`Life`] takes a host from start to exit. The types of the
+//! calls between hosts are here too.
 
+mod budget;
+mod choice;
+mod exchange;
+mod fact;
 mod life;
 mod member;
+mod message;
 mod relay_set;
+mod rumour;
+mod table;
 mod wire;
 
 pub use crate::{
+    budget::{Budget, SEND_BURST_BYTES, SEND_BYTES_PER_S},
+    choice::{Choice, Outcome, Track, FAILURE_MEMORY},
+    exchange::{message_bytes, Exchange, Learned, Outgoing, ROUND_PAUSE},
+    fact::{Fact, FactKey, Facts, MAX_FACTS, MAX_FACT_AGE, MAX_FACT_BYTES},
     life::{Life, LifeEvent, Phase},
-    member::Member,
-    relay_set::relay_set,
+    member::{Entry, EntryVersion, Incarnation, Member, Standing},
+    message::{MalformedReport, Message, WireEntry, WireFact, WireMessage, WireReport},
+    relay_set::{connections_per_relay, eligible, relay_count, relay_set, RelayLimits},
+    rumour::{Rumour, Rumours},
+    table::{
+        GroupId, GroupReport, Merged, Progress, Table, GROUPS, LEFT_RETENTION, LOST_RETENTION,
+        SUSPECT_TIMEOUT,
+    },
     wire::{
-        Peer, PeerClient, PeerRequest, PeerResponse, QueryAnswer, QueryCall, WireRows,
+        is_spoken, Peer, PeerClient, PeerRequest, PeerResponse, QueryAnswer, QueryCall, WireRows,
         PROTOCOL_VERSION,
     },
 };
--- a/crates/process/fleet/src/life.rs
+++ b/crates/process/fleet/src/life.rs
@@ -1,12 +1,14 @@
 //! The life of a host, from start to exit.
 //!
 //! A graceful shutdown takes its steps in order: not ready, wait until the
-//! balancer has noticed, refuse new work, finish what is in flight, exit.
+//! balancer has noticed, refuse new work, finish what is in flight, tell the
+//! peers, exit. What is still in flight at the end of the longest drain is
+//! given up, and its callers are told so.
 
 use statig::{blocking::StateMachine, prelude::*};
 
-/// Where a host stands in its life.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Where a host stands in its life, in the order in which it comes there.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
     /// No configuration is in force yet.
     Starting,
@@ -16,7 +18,11 @@
     Leaving,
     /// The host refuses new work and finishes what is in flight.
     Finishing,
-    /// Nothing is in flight any more.
+    /// The longest drain is over; what is in flight is given up.
+    GivingUp,
+    /// Nothing is in flight any more, and the host tells its peers that it is gone.
+    Departing,
+    /// The process can end.
     Stopped,
 }
 
@@ -31,6 +37,10 @@
     BalancerLagOver,
     /// Nothing is in flight.
     Idle,
+    /// The longest drain is over.
+    DrainOver,
+    /// The peers have been told.
+    PeersTold,
 }
 
 #[derive(Debug, Default)]
@@ -66,7 +76,24 @@
     #[state]
     fn finishing(event: &LifeEvent) -> Outcome<State> {
         match event {
-            LifeEvent::Idle => Transition(State::stopped()),
+            LifeEvent::Idle => Transition(State::departing()),
+            LifeEvent::DrainOver => Transition(State::giving_up()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn giving_up(event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::Idle => Transition(State::departing()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn departing(event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::PeersTold => Transition(State::stopped()),
             _ => Handled,
         }
     }
@@ -78,7 +105,9 @@
             LifeEvent::Configured
             | LifeEvent::Stop
             | LifeEvent::BalancerLagOver
-            | LifeEvent::Idle => Handled,
+            | LifeEvent::Idle
+            | LifeEvent::DrainOver
+            | LifeEvent::PeersTold => Handled,
         }
     }
 }
@@ -110,6 +139,8 @@
             State::Ready {} => Phase::Ready,
             State::Leaving {} => Phase::Leaving,
             State::Finishing {} => Phase::Finishing,
+            State::GivingUp {} => Phase::GivingUp,
+            State::Departing {} => Phase::Departing,
             State::Stopped {} => Phase::Stopped,
         }
     }
--- a/crates/process/fleet/src/wire.rs
+++ b/crates/process/fleet/src/wire.rs
@@ -5,6 +5,7 @@
 //! hosts of two releases talk to each other during a replacement.
 
 use {
+    crate::WireMessage,
     kind::{Ran, Result},
     plan::{Answer, CoverageReport, ShardRows},
     record::{IndexVersion, Rank, RecordVersion, Revision, ShardId, TenantId},
@@ -13,7 +14,19 @@
 };
 
 /// Version of the protocol between hosts.
-pub const PROTOCOL_VERSION: u32 = 1;
+///
+/// Version 2 added the exchange and probes.
+pub const PROTOCOL_VERSION: u32 = 2;
+/// Number of versions by which two hosts that talk to each other may differ.
+const MAX_VERSION_SKEW: u32 = 1;
+
+/// Returns whether a message of protocol `version` is understood here.
+///
+/// A release understands the one before it, and takes messages of the one
+/// after it because that one keeps what this one reads.
+pub fn is_spoken(version: u32) -> bool {
+    version.abs_diff(PROTOCOL_VERSION) <= MAX_VERSION_SKEW
+}
 
 /// A query on its way from an entry to a relay.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -90,4 +103,10 @@
 pub trait Peer {
     /// Runs a query as its relay.
     async fn query(call: QueryCall) -> Result<QueryAnswer>;
+
+    /// Exchanges news of the fleet.
+    async fn exchange(message: WireMessage) -> Result<WireMessage>;
+
+    /// Answers at once; shows that the connection still carries bytes both ways.
+    async fn probe();
 }
--- a/crates/process/host/examples/all_in_one.rs
+++ b/crates/process/host/examples/all_in_one.rs
@@ -98,6 +98,8 @@
         balancer_lag_ms: 0,
         max_body_bytes: 65_536,
         default_relays: 1,
+        seed_peers: Vec::new(),
+        max_drain_ms: 30_000,
     })?;
     host::run(settings).await
 }
--- a/crates/process/host/src/admin/mod.rs
+++ b/crates/process/host/src/admin/mod.rs
@@ -46,13 +46,32 @@
     host: HostId,
     revision: Revision,
     members: Vec<Member>,
+    suspects: Vec<HostId>,
+    /// How far the revision of this host has come.
+    in_force: Spread,
+}
+
+#[derive(Serialize)]
+struct Spread {
+    in_force: usize,
+    members: usize,
+    lagging: Vec<HostId>,
 }
 
 async fn fleet(State(shared): State<Arc<Shared>>) -> Json<FleetStated> {
+    let revision = shared.in_force().revision();
+    let view = shared.members.view();
+    let progress = shared.members.progress(revision);
     Json(FleetStated {
         host: shared.settings.member.id.clone(),
-        revision: shared.in_force().revision(),
-        members: shared.members.all().to_vec(),
+        revision,
+        members: view.members.to_vec(),
+        suspects: view.suspects.iter().cloned().collect(),
+        in_force: Spread {
+            in_force: progress.in_force,
+            members: progress.members,
+            lagging: progress.lagging,
+        },
     })
 }
 
--- a/crates/process/host/src/entry/mod.rs
+++ b/crates/process/host/src/entry/mod.rs
@@ -1,11 +1,13 @@
 //! The entry: takes queries of callers and answers them.
 
 mod answer;
+mod forward;
 mod headers;
 mod problem;
 mod query;
 
 pub(crate) use {
+    forward::Choices,
     problem::Problem,
     query::{router, serve_fallback, serve_method_fallback},
 };
--- a/crates/process/host/src/entry/query.rs
+++ b/crates/process/host/src/entry/query.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        entry::{answer::Envelope, headers::QueryHeaders, problem::Problem},
-        relay,
+        entry::{
+            answer::Envelope, forward::send_to_relay, headers::QueryHeaders, problem::Problem,
+        },
         shared::Shared,
     },
     axum::{
@@ -14,21 +15,15 @@
         routing::{get, post},
         Json, Router,
     },
-    fleet::{relay_set, Member, Phase, QueryAnswer, QueryCall, PROTOCOL_VERSION},
-    kind::{Error, Kind, Ran, Result},
+    fleet::{Phase, QueryAnswer, QueryCall, PROTOCOL_VERSION},
+    kind::{Error, Kind, Result},
     meter::QueryLabels,
     plan::RequestId,
-    record::Route,
     serde_json::value::RawValue,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Instant},
+    tokio::select,
 };
 
-/// Time that an entry keeps for itself out of a deadline, in milliseconds.
-const OWN_SHARE_MS: u64 = 2;
-
 /// Returns the routes for callers and the balancer.
 pub(crate) fn router(shared: Arc<Shared>) -> Router {
     let max_body_bytes = shared.settings.max_body_bytes;
@@ -125,7 +120,11 @@
         time_left_ms: 0,
         query,
     };
-    let answer = send_to_relay(shared, &route, call, deadline).await?;
+    let answer = select! {
+        biased;
+        answer = send_to_relay(shared, &route, call, deadline) => answer?,
+        error = shared.life.given_up() => return Err(error),
+    };
     if answer.coverage.share() < route.coverage.min_share {
         return Err(low_coverage(&answer));
     }
@@ -168,77 +167,3 @@
     )
     .with_ran(answer.ran)
 }
-
-/// Runs the query here if this host is a relay of the service, else on a relay.
-async fn send_to_relay(
-    shared: &Arc<Shared>,
-    route: &Route,
-    mut call: QueryCall,
-    deadline: Instant,
-) -> Result<QueryAnswer> {
-    let members = shared.members.all();
-    let in_force = shared.in_force();
-    let service = in_force.service(&route.service)?;
-    let wanted = service.relays.map(|relays| relays as usize);
-    let count = wanted
-        .or(shared.settings.default_relays)
-        .unwrap_or(members.len());
-    let relays = relay_set(&service.name, &members, count);
-    let own_id = &shared.settings.member.id;
-    let mut last_error = Error::new(Kind::HostLost, "no relay is known").with_ran(Ran::No);
-    for relay in in_turn(relays, own_id, &call.request_id) {
-        call.time_left_ms = time_left_ms(deadline)?;
-        let answer = if relay.id == *own_id {
-            relay::serve(shared, call.clone()).await
-        } else {
-            shared
-                .peers
-                .query(relay.peer_addr, call.clone(), deadline)
-                .await
-        };
-        match answer {
-            Ok(answer) if answer.request_id == call.request_id => return Ok(answer),
-            Ok(_) => {
-                return Err(Error::new(
-                    Kind::Internal,
-                    "the relay answered another request",
-                ))
-            }
-            Err(error) if may_try_next(route, &error) => last_error = error,
-            Err(error) => return Err(error),
-        }
-    }
-    Err(last_error)
-}
-
-fn may_try_next(route: &Route, error: &Error) -> bool {
-    let is_about_host = matches!(
-        error.kind(),
-        Kind::HostLost | Kind::Draining | Kind::BadPeer | Kind::UnknownVersion | Kind::UnknownRoute
-    );
-    is_about_host && (route.repeatable || error.ran() == Ran::No)
-}
-
-/// Orders the relays: this host first, the others from a place given by the request.
-fn in_turn<'a>(relays: Vec<&'a Member>, own_id: &str, request_id: &str) -> Vec<&'a Member> {
-    let (mut own, mut others): (Vec<_>, Vec<_>) =
-        relays.into_iter().partition(|relay| relay.id == *own_id);
-    if !others.is_empty() {
-        let start = request_id.bytes().map(usize::from).sum::<usize>() % others.len();
-        others.rotate_left(start);
-    }
-    own.append(&mut others);
-    own
-}
-
-fn time_left_ms(deadline: Instant) -> Result<u64> {
-    let left = deadline.saturating_duration_since(Instant::now());
-    let left = left.saturating_sub(Duration::from_millis(OWN_SHARE_MS));
-    match u64::try_from(left.as_millis()) {
-        Ok(0) | Err(_) => Err(Error::new(
-            Kind::TooLate,
-            "no time is left for the upstreams",
-        )),
-        Ok(left_ms) => Ok(left_ms),
-    }
-}
--- a/crates/process/host/src/lib.rs
+++ b/crates/process/host/src/lib.rs
@@ -6,11 +6,14 @@
 
 mod admin;
 mod config;
+mod counted;
 mod entry;
+mod flushed;
 mod life;
 mod members;
 mod peer;
 mod relay;
+mod relay_sets;
 mod run;
 mod settings;
 mod shared;
--- a/crates/process/host/src/relay/gate.rs
+++ b/crates/process/host/src/relay/gate.rs
@@ -100,7 +100,7 @@
         let in_force = shared.in_force();
         let built_for = BuiltFor {
             revision: in_force.revision(),
-            relays: relay_count(shared, service),
+            relays: shared.relay_sets.of(shared, service).relays.len().max(1),
         };
         let found = self.0.read().get(&service.name).cloned();
         let gate = found.unwrap_or_else(|| {
@@ -229,14 +229,6 @@
     }
 }
 
-fn relay_count(shared: &Shared, service: &Service) -> usize {
-    let members = shared.members.all().len().max(1);
-    let wanted = service.relays.map(|relays| relays as usize);
-    wanted
-        .or(shared.settings.default_relays)
-        .map_or(members, |relays| relays.min(members))
-}
-
 /// Returns the bounds of the window from the slots of the scarcest shard.
 fn bounds(service: &Service, relays: usize) -> Bounds {
     let servers = service
--- a/crates/process/host/src/settings.rs
+++ b/crates/process/host/src/settings.rs
@@ -8,6 +8,8 @@
 
 /// Longest time that the balancer may need to notice a host that leaves.
 const MAX_BALANCER_LAG_MS: u64 = 60_000;
+/// Longest time that a drain may be given.
+const MAX_DRAIN_MS: u64 = 3_600_000;
 /// Least number of bytes of an administration token.
 const MIN_TOKEN_BYTES: usize = 8;
 
@@ -36,6 +38,10 @@
     pub max_body_bytes: usize,
     /// Number of relays of a service that names none; 0 means every host.
     pub default_relays: u32,
+    /// Addresses of peers to begin with, beside those of the host list.
+    pub seed_peers: Vec<String>,
+    /// Time after which a drain gives up what is in flight, in milliseconds.
+    pub max_drain_ms: u64,
 }
 
 /// Checked settings of a host.
@@ -57,6 +63,10 @@
     pub max_body_bytes: usize,
     /// Number of relays of a service that names none; `None` means every host.
     pub default_relays: Option<usize>,
+    /// Addresses of peers to begin with, beside those of the host list.
+    pub seed_peers: Vec<SocketAddr>,
+    /// Time after which a drain gives up what is in flight.
+    pub max_drain: Duration,
 }
 
 impl TryFrom<RawSettings> for Settings {
@@ -69,6 +79,12 @@
                 raw.balancer_lag_ms
             );
         }
+        if raw.max_drain_ms == 0 || raw.max_drain_ms > MAX_DRAIN_MS {
+            bail!(
+                "--max-drain-ms: {} is out of range, allowed is 1 to {MAX_DRAIN_MS}",
+                raw.max_drain_ms
+            );
+        }
         if raw.max_body_bytes == 0 {
             bail!("--max-body-bytes: 0 is out of range, allowed is 1 and more");
         }
@@ -89,6 +105,12 @@
             balancer_lag: Duration::from_millis(raw.balancer_lag_ms),
             max_body_bytes: raw.max_body_bytes,
             default_relays: Some(raw.default_relays as usize).filter(|relays| *relays > 0),
+            seed_peers: raw
+                .seed_peers
+                .iter()
+                .map(|seed| checked_addr("--seed-peers", seed))
+                .collect::<Result<_>>()?,
+            max_drain: Duration::from_millis(raw.max_drain_ms),
         })
     }
 }
--- a/crates/process/host/src/shared.rs
+++ b/crates/process/host/src/shared.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::{
+        entry::Choices,
         life::LifeWatch,
         members::Members,
         peer::Peers,
         relay::{gate::Gates, pool::Pools},
+        relay_sets::RelaySets,
         Settings,
     },
     meter::Metrics,
@@ -22,6 +24,8 @@
     pub(crate) platform: HttpPlatform,
     pub(crate) config: watch::Sender<Arc<InForce>>,
     pub(crate) members: Members,
+    pub(crate) relay_sets: RelaySets,
+    pub(crate) choices: Choices,
     pub(crate) peers: Peers,
     pub(crate) pools: Pools,
     pub(crate) gates: Gates,
--- a/crates/process/meter/src/metrics.rs
+++ b/crates/process/meter/src/metrics.rs
@@ -41,6 +41,10 @@
     gate_wait_ms: Histogram<f64>,
     gate_refusals: Counter<u64>,
     gate_window: Gauge<u64>,
+    exchange_bytes: Counter<u64>,
+    members: Gauge<u64>,
+    forwards: Counter<u64>,
+    in_flight: Gauge<u64>,
 }
 
 impl Metrics {
@@ -87,6 +91,22 @@
                 .u64_gauge("wharf_gate_window")
                 .with_description("Queries of a service that this relay runs at once")
                 .build(),
+            exchange_bytes: meter
+                .u64_counter("wharf_exchange_bytes")
+                .with_description("Bytes of the exchange with peers, by direction")
+                .build(),
+            members: meter
+                .u64_gauge("wharf_members")
+                .with_description("Hosts as this one knows them, by state")
+                .build(),
+            forwards: meter
+                .u64_counter("wharf_forwards")
+                .with_description("Queries sent to a relay, by outcome")
+                .build(),
+            in_flight: meter
+                .u64_gauge("wharf_in_flight")
+                .with_description("Requests in flight on this host, as of the last exchange")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -149,6 +169,32 @@
         self.gate_window.record(window as u64, &labels);
     }
 
+    /// Counts bytes of the exchange, `sent` or `received`.
+    pub fn on_exchange_bytes(&self, direction: &'static str, bytes: u64) {
+        let labels = [KeyValue::new("direction", direction)];
+        self.exchange_bytes.add(bytes, &labels);
+    }
+
+    /// Records the hosts that take work and those that are suspected.
+    pub fn on_members(&self, taking_work: usize, suspected: usize) {
+        let record = |state: &'static str, count: usize| {
+            let labels = [KeyValue::new("state", state)];
+            self.members.record(count as u64, &labels);
+        };
+        record("taking-work", taking_work);
+        record("suspected", suspected);
+    }
+
+    /// Counts a query sent to a relay, with the outcome of the attempt.
+    pub fn on_forward(&self, outcome: &'static str) {
+        self.forwards.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the number of requests in flight.
+    pub fn on_in_flight(&self, requests: usize) {
+        self.in_flight.record(requests as u64, &[]);
+    }
+
     /// Returns the Prometheus exposition.
     ///
     /// # Errors
