--- a/crates/process/fleet/src/lib.rs
+++ b/crates/process/fleet/src/lib.rs
@@ -26,7 +26,7 @@
     life::{Life, LifeEvent, Phase},
     member::{Entry, EntryVersion, Incarnation, Member, Standing},
     message::{MalformedReport, Message, WireEntry, WireFact, WireMessage, WireReport},
-    relay_set::{connections_per_relay, eligible, relay_count, relay_set, RelayLimits},
+    relay_set::{eligible, relay_count, relay_set, RelayLimits},
     rumour::{Rumour, Rumours},
     table::{
         GroupId, GroupReport, Merged, Progress, Table, GROUPS, LEFT_RETENTION, LOST_RETENTION,
--- a/crates/process/fleet/src/relay_set.rs
+++ b/crates/process/fleet/src/relay_set.rs
@@ -52,12 +52,6 @@
     wanted.min(most as usize).max(1).min(members)
 }
 
-/// Returns the number of connections that each of `relays` relays may hold to a server.
-pub fn connections_per_relay(connection_limit: u32, relays: usize) -> u32 {
-    let relays = u32::try_from(relays.max(1)).unwrap_or(u32::MAX);
-    (usable_connections(connection_limit) / relays).max(1)
-}
-
 fn usable_connections(connection_limit: u32) -> u32 {
     let usable = u64::from(connection_limit) * u64::from(100 - HEADROOM_PERCENT) / 100;
     u32::try_from(usable).unwrap_or(u32::MAX).max(1)
--- a/crates/process/host/src/entry/forward.rs
+++ b/crates/process/host/src/entry/forward.rs
@@ -13,9 +13,11 @@
     },
     fleet::{Choice, Member, Outcome, QueryAnswer, QueryCall},
     kind::{Error, Kind, Ran, Result},
+    link::Fingerprint,
     parking_lot::Mutex,
     record::{HostId, Route},
     std::{
+        cmp::Reverse,
         collections::VecDeque,
         sync::Arc,
         time::{Duration, Instant},
@@ -72,14 +74,20 @@
     let service = shared.in_force().service(&route.service)?;
     let set = shared.relay_sets.of(shared, &service);
     let choice = shared.choices.of(&route.service);
-    let mut queue = in_turn(shared, choice, &set);
+    let fingerprint = link::fingerprint(&route.name, call.query.get());
+    let mut queue = in_turn(shared, choice, &set, fingerprint);
     let mut retried = None;
     let mut last_error = Error::new(Kind::HostLost, "no relay is known").with_ran(Ran::No);
     while let Some(relay) = queue.pop_front() {
         call.time_left_ms = time_left_ms(deadline).map_err(|e| e.with_ran(last_error.ran()))?;
         let attempt = try_relay(shared, choice, relay, &call, deadline).await;
         match attempt {
-            Ok(answer) => return Ok(answer),
+            Ok(answer) => {
+                if answer.coverage.is_complete() {
+                    shared.canaries.quarantine.on_success(fingerprint);
+                }
+                return Ok(answer);
+            }
             Err(lost) => {
                 let may_try_next = may_try_next(route, &lost.error);
                 last_error = combine(&last_error, lost.error);
@@ -147,7 +155,7 @@
         return Ok(answer);
     }
     Err(Error::new(
-        Kind::Internal,
+        Kind::HostLost,
         "the relay answered another request",
     ))
 }
@@ -175,11 +183,22 @@
     )
 }
 
-/// Orders the relays, suspected ones last, and after them the spares.
-fn in_turn<'a>(shared: &Shared, choice: &Mutex<Choice>, set: &'a RelaySet) -> VecDeque<&'a Member> {
+/// Orders the relays: the fine ones, then the spares, then the suspected ones.
+///
+/// A request that no host knows as harmless goes to the relay with the
+/// greatest weight for it, so that one host counts its crashes.
+fn in_turn<'a>(
+    shared: &Shared,
+    choice: &Mutex<Choice>,
+    set: &'a RelaySet,
+    fingerprint: Fingerprint,
+) -> VecDeque<&'a Member> {
     let own = &shared.settings.member;
     let now = Instant::now();
-    let relays = choice.lock().order(&set.relays, own, now, &mut rand::rng());
+    let mut relays = choice.lock().order(&set.relays, own, now, &mut rand::rng());
+    if !shared.canaries.quarantine.is_known_good(fingerprint) {
+        relays.sort_by_key(|relay| Reverse(link::owner_weight(fingerprint, &relay.id)));
+    }
     let view = shared.members.view();
     let (suspect, fine): (Vec<_>, Vec<_>) = relays
         .into_iter()
--- a/crates/process/host/src/entry/query.rs
+++ b/crates/process/host/src/entry/query.rs
@@ -15,10 +15,10 @@
         routing::{get, post},
         Json, Router,
     },
-    fleet::{Phase, QueryAnswer, QueryCall, PROTOCOL_VERSION},
+    fleet::{Phase, QueryCall, PROTOCOL_VERSION},
     kind::{Error, Kind, Result},
     meter::QueryLabels,
-    plan::RequestId,
+    plan::{verdict, RequestId},
     serde_json::value::RawValue,
     std::{sync::Arc, time::Instant},
     tokio::select,
@@ -125,9 +125,7 @@
         answer = send_to_relay(shared, &route, call, deadline) => answer?,
         error = shared.life.given_up() => return Err(error),
     };
-    if answer.coverage.share() < route.coverage.min_share {
-        return Err(low_coverage(&answer));
-    }
+    verdict(&answer.coverage, answer.ran, &route.coverage)?;
     let is_complete = answer.coverage.is_complete();
     Ok((Envelope::new(&route, answer), is_complete))
 }
@@ -153,17 +151,3 @@
     serde_json::from_slice(&bytes)
         .map_err(|e| Error::new(Kind::BadBody, format!("the body is not JSON: {e}")))
 }
-
-fn low_coverage(answer: &QueryAnswer) -> Error {
-    let lacking: Vec<_> = answer
-        .coverage
-        .missing
-        .iter()
-        .map(|m| format!("{} ({:?})", m.shard, m.reason))
-        .collect();
-    Error::new(
-        Kind::LowCoverage,
-        format!("missing shards: {}", lacking.join(", ")),
-    )
-    .with_ran(answer.ran)
-}
--- a/crates/process/host/src/members.rs
+++ b/crates/process/host/src/members.rs
@@ -4,7 +4,7 @@
 //! peers may be found; who is a member is what the hosts tell each other.
 
 use {
-    crate::{peer, shared::Shared, Settings},
+    crate::{peer, relay, shared::Shared, Settings},
     fleet::{
         Entry, Exchange, Fact, FactKey, Learned, Member, Message, Outgoing, Progress, Standing,
     },
@@ -250,6 +250,7 @@
     loop {
         match shared.platform.hosts().await {
             Ok(listed) => {
+                relay::on_list(&shared, &listed);
                 let hosts = listed.iter().filter(|host| host.role == Role::Wharf);
                 let seeds = hosts.map(|host| host.addr);
                 set_seeds(&shared, seeds.collect());
--- a/crates/process/host/src/relay/leaf.rs
+++ b/crates/process/host/src/relay/leaf.rs
@@ -1,18 +1,33 @@
 //! One call to one upstream server over HTTP.
 
 use {
-    crate::relay::pool::{CheckoutError, Pool},
-    bytes::Bytes,
-    http::{header, HeaderValue, Method, Request, StatusCode},
-    http_body_util::{BodyExt, Full},
+    crate::{
+        relay::{
+            exchange::{exchange, LeafRequest},
+            pool::Pool,
+            upstreams::CallGuard,
+        },
+        shared::Shared,
+    },
+    http::StatusCode,
     kind::Ran,
-    plan::{AttemptId, LeafCall, LeafFailure, LeafReply, Reason, RequestId},
+    plan::{AttemptId, LeafCall, LeafFault, LeafReply, Reason, Refusal, RequestId},
     record::{IndexVersion, ShardId},
     serde::{Deserialize, Serialize},
     serde_json::value::RawValue,
-    tokio::time::timeout,
+    std::{sync::Arc, time::Instant},
 };
 
+/// The reply of a server to one call.
+pub(crate) type Reply = LeafReply<Box<RawValue>>;
+
+/// Where a call goes.
+pub(crate) struct Target<'a> {
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) shared: &'a Shared,
+    pub(crate) is_repeatable: bool,
+}
+
 /// A call as upstreams read it.
 #[derive(Serialize)]
 pub(crate) struct WireCall<'a> {
@@ -34,6 +49,8 @@
 
 #[derive(Deserialize)]
 struct WireRefusal {
+    request_id: Option<String>,
+    attempt_id: Option<AttemptId>,
     kind: String,
     ran: Ran,
     newest_version: Option<IndexVersion>,
@@ -53,82 +70,72 @@
 
 /// Calls a server and reads its reply.
 ///
+/// The connection goes back to its pool only after a reply or a refusal that
+/// carries the ids of the call; any other end closes it.
+///
 /// # Errors
 ///
-/// Returns why there is no reply and whether the server executed the call.
+/// Returns the point at which the call failed.
 pub(crate) async fn call(
-    pool: &Pool,
+    target: &Target<'_>,
+    request_id: RequestId,
     call: &LeafCall,
     wire: &WireCall<'_>,
-) -> Result<LeafReply<Box<RawValue>>, LeafFailure> {
-    let request = build_request(pool, call, wire).ok_or(failure(Reason::Lost, Ran::No))?;
-    let exchange = async {
-        let mut connection = pool.checkout().await.map_err(|error| match error {
-            CheckoutError::Refused => failure(Reason::Unreachable, Ran::No),
-        })?;
-        let sent = connection.sender.try_send_request(request).await;
-        let response = sent.map_err(|mut error| {
-            // A request that comes back was never written.
-            let ran = if error.take_message().is_some() {
-                Ran::No
-            } else {
-                Ran::Unknown
-            };
-            failure(Reason::Lost, ran)
-        })?;
-        let status = response.status();
-        let body = response
-            .into_body()
-            .collect()
-            .await
-            .map_err(|_| failure(Reason::Lost, Ran::Unknown))?
-            .to_bytes();
-        connection.give_back();
-        read_reply(status, &body)
-    };
-    timeout(call.time_left, exchange)
+) -> Result<Reply, LeafFault> {
+    let is_repeatable = target.is_repeatable;
+    let request = build_request(call, wire, is_repeatable).ok_or(LeafFault::NotWritten)?;
+    let mut guard = CallGuard::new(target.shared, call.server, is_repeatable);
+    let exchanged = exchange(&target.pool, &request)
         .await
-        .unwrap_or(Err(failure(Reason::Deadline, Ran::Unknown)))
+        .inspect_err(|fault| guard.on_fault(*fault))?;
+    let result = read_reply(exchanged.status, &exchanged.body, request_id, call);
+    guard.on_exchanged(&exchanged, result.as_ref().err().copied());
+    if result
+        .as_ref()
+        .err()
+        .is_none_or(|fault| fault.keeps_connection())
+    {
+        exchanged.connection.give_back();
+    }
+    result
 }
 
-fn build_request(
-    pool: &Pool,
-    call: &LeafCall,
-    wire: &WireCall<'_>,
-) -> Option<Request<Full<Bytes>>> {
-    let body = serde_json::to_vec(wire).ok()?;
-    Request::builder()
-        .method(Method::POST)
-        .uri(format!("/v1/shards/{}/search", call.shard))
-        .header(header::HOST, pool.host_header())
-        .header(
-            header::CONTENT_TYPE,
-            HeaderValue::from_static("application/json"),
-        )
-        .body(Full::new(Bytes::from(body)))
-        .ok()
+fn build_request(call: &LeafCall, wire: &WireCall<'_>, is_repeatable: bool) -> Option<LeafRequest> {
+    Some(LeafRequest {
+        uri: format!("/v1/shards/{}/search", call.shard).parse().ok()?,
+        body: serde_json::to_vec(wire).ok()?.into(),
+        is_repeatable,
+        deadline: Instant::now() + call.time_left,
+    })
 }
 
-fn read_reply(status: StatusCode, body: &[u8]) -> Result<LeafReply<Box<RawValue>>, LeafFailure> {
+fn read_reply(
+    status: StatusCode,
+    body: &[u8],
+    request_id: RequestId,
+    call: &LeafCall,
+) -> Result<Reply, LeafFault> {
     if status != StatusCode::OK {
-        return Err(read_refusal(body));
+        return Err(read_refusal(body, request_id, call));
     }
-    let reply: WireReply =
-        serde_json::from_slice(body).map_err(|_| failure(Reason::Mismatch, Ran::Unknown))?;
-    let request_id = RequestId::from_str_radix(&reply.request_id, 16)
-        .map_err(|_| failure(Reason::Mismatch, Ran::Unknown))?;
-    Ok(LeafReply {
-        request_id,
+    let reply: WireReply = serde_json::from_slice(body).map_err(|_| LeafFault::Malformed)?;
+    let reply = LeafReply {
+        request_id: parse_id(&reply.request_id).ok_or(LeafFault::Malformed)?,
         attempt_id: reply.attempt_id,
         shard: reply.shard,
         index_version: reply.index_version,
         rows: reply.rows,
-    })
+    };
+    if reply.answers(request_id, call) {
+        Ok(reply)
+    } else {
+        Err(LeafFault::Mismatch)
+    }
 }
 
-fn read_refusal(body: &[u8]) -> LeafFailure {
+fn read_refusal(body: &[u8], request_id: RequestId, call: &LeafCall) -> LeafFault {
     let Ok(refusal) = serde_json::from_slice::<WireRefusal>(body) else {
-        return failure(Reason::Lost, Ran::Unknown);
+        return LeafFault::Malformed;
     };
     let reason = match refusal.kind.as_str() {
         "shed" => Reason::Shed,
@@ -137,17 +144,15 @@
         "too-late" => Reason::Deadline,
         _ => Reason::Lost,
     };
-    LeafFailure {
+    let stated_id = refusal.request_id.as_deref().and_then(parse_id);
+    LeafFault::Refused(Refusal {
         reason,
         ran: refusal.ran,
+        is_own: stated_id == Some(request_id) && refusal.attempt_id == Some(call.attempt_id),
         newest_version: refusal.newest_version,
-    }
+    })
 }
 
-fn failure(reason: Reason, ran: Ran) -> LeafFailure {
-    LeafFailure {
-        reason,
-        ran,
-        newest_version: None,
-    }
+fn parse_id(text: &str) -> Option<RequestId> {
+    RequestId::from_str_radix(text, 16).ok()
 }
--- a/crates/process/host/src/relay/mod.rs
+++ b/crates/process/host/src/relay/mod.rs
@@ -1,8 +1,15 @@
 //! The relay: runs whole queries against the servers of a service.
 
+pub(crate) mod canary;
+mod exchange;
 pub(crate) mod gate;
 mod leaf;
 pub(crate) mod pool;
 mod query;
+mod upkeep;
+mod upstreams;
 
-pub(crate) use query::serve;
+pub(crate) use {
+    query::serve,
+    upkeep::{keep_up, on_list},
+};
--- a/crates/process/host/src/relay_sets.rs
+++ b/crates/process/host/src/relay_sets.rs
@@ -22,6 +22,8 @@
 pub(crate) struct RelaySet {
     /// Relays, best first.
     pub(crate) relays: Vec<Member>,
+    /// Number of relays by which connections are shared.
+    pub(crate) planned: usize,
     /// Hosts that would be relays next.
     pub(crate) spares: Vec<Member>,
 }
@@ -80,5 +82,14 @@
     let ranked = relay_set(&service.name, &eligible, count + SPARES);
     let mut relays: Vec<_> = ranked.into_iter().cloned().collect();
     let spares = relays.split_off(count.min(relays.len()));
-    RelaySet { relays, spares }
+    // A fresh host knows only itself, so the record's count is not lowered to that.
+    let planned = match limits.record {
+        Some(_) => relay_count(limits, usize::MAX),
+        None => count,
+    };
+    RelaySet {
+        relays,
+        planned,
+        spares,
+    }
 }
