Show that a slow server gets no second call of a request that may run once

The test of silent connections could not tell a second call, since a silent connection counts none. With the mutant that suspects these requests too, a server of 700 ms now sees 2 calls where 1 is due; without it 1.

--- a/crates/bin/wharf/tests/upstreams.rs
+++ b/crates/bin/wharf/tests/upstreams.rs
@@ -109,6 +109,21 @@
             assert_eq!(answer.json()["ran"], "unknown", "{}", answer.text);
         }
     }
+    // A server that is merely slow on a connection just used gets no second call.
+    assert_eq!(complete_of(&path, 10, 2, 500).await?, 20);
+    let slow = Behaviour {
+        mean_ms: 700.0,
+        ..Behaviour::default()
+    };
+    path.set_behaviour(&slow).await?;
+    let before = path.seen().await?;
+    let headers = [
+        ("x-wharf-deadline-ms", "10000"),
+        ("idempotency-key", "slow-slot"),
+    ];
+    let answer = path.query(0, "booking", &headers, "{\"slot\":8}").await?;
+    assert!(is_complete(&answer), "{}", answer.text);
+    assert_eq!(path.seen().await?.calls - before.calls, 1);
     Ok(())
 }
 
