--- a/crates/process/host/src/entry/query.rs
+++ b/crates/process/host/src/entry/query.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        entry::{answer::Envelope, headers::QueryHeaders, problem::Problem},
-        relay,
+        entry::{
+            answer::Envelope, forward::send_to_relay, headers::QueryHeaders, problem::Problem,
+        },
         shared::Shared,
     },
     axum::{
@@ -14,23 +15,15 @@
         routing::{get, post},
         Json, Router,
     },
-    fleet::{relay_set, Member, Phase, QueryAnswer, QueryCall, PROTOCOL_VERSION},
-    kind::{Error, Kind, Ran, Result},
-    link::Fingerprint,
+    fleet::{Phase, QueryCall, PROTOCOL_VERSION},
+    kind::{Error, Kind, Result},
     meter::QueryLabels,
     plan::{verdict, RequestId},
-    record::Route,
     serde_json::value::RawValue,
-    std::{
-        cmp::Reverse,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Instant},
+    tokio::select,
 };
 
-/// Time that an entry keeps for itself out of a deadline, in milliseconds.
-const OWN_SHARE_MS: u64 = 2;
-
 /// Returns the routes for callers and the balancer.
 pub(crate) fn router(shared: Arc<Shared>) -> Router {
     let max_body_bytes = shared.settings.max_body_bytes;
@@ -127,7 +120,11 @@
         time_left_ms: 0,
         query,
     };
-    let answer = send_to_relay(shared, &route, call, deadline).await?;
+    let answer = select! {
+        biased;
+        answer = send_to_relay(shared, &route, call, deadline) => answer?,
+        error = shared.life.given_up() => return Err(error),
+    };
     verdict(&answer.coverage, answer.ran, &route.coverage)?;
     let is_complete = answer.coverage.is_complete();
     Ok((Envelope::new(&route, answer), is_complete))
@@ -154,95 +151,3 @@
     serde_json::from_slice(&bytes)
         .map_err(|e| Error::new(Kind::BadBody, format!("the body is not JSON: {e}")))
 }
-
-/// Runs the query here if this host is a relay of the service, else on a relay.
-async fn send_to_relay(
-    shared: &Arc<Shared>,
-    route: &Route,
-    mut call: QueryCall,
-    deadline: Instant,
-) -> Result<QueryAnswer> {
-    let members = shared.members.all();
-    let in_force = shared.in_force();
-    let service = in_force.service(&route.service)?;
-    let wanted = service.relays.map(|relays| relays as usize);
-    let count = wanted
-        .or(shared.settings.default_relays)
-        .unwrap_or(members.len());
-    let relays = relay_set(&service.name, &members, count);
-    let own_id = &shared.settings.member.id;
-    let mut last_error = Error::new(Kind::HostLost, "no relay is known").with_ran(Ran::No);
-    let fingerprint = link::fingerprint(&route.name, call.query.get());
-    let quarantine = &shared.canaries.quarantine;
-    let relays = if quarantine.is_known_good(fingerprint) {
-        in_turn(relays, own_id, &call.request_id)
-    } else {
-        owner_first(relays, fingerprint)
-    };
-    for relay in relays {
-        call.time_left_ms = time_left_ms(deadline)?;
-        let answer = if relay.id == *own_id {
-            relay::serve(shared, call.clone()).await
-        } else {
-            shared
-                .peers
-                .query(relay.peer_addr, call.clone(), deadline)
-                .await
-        };
-        match answer {
-            Ok(answer) if answer.request_id == call.request_id => {
-                if answer.coverage.is_complete() {
-                    quarantine.on_success(fingerprint);
-                }
-                return Ok(answer);
-            }
-            Ok(_) => {
-                last_error = Error::new(Kind::HostLost, "the relay answered another request");
-                if !route.repeatable {
-                    return Err(last_error);
-                }
-            }
-            Err(error) if may_try_next(route, &error) => last_error = error,
-            Err(error) => return Err(error),
-        }
-    }
-    Err(last_error)
-}
-
-fn may_try_next(route: &Route, error: &Error) -> bool {
-    let is_about_host = matches!(
-        error.kind(),
-        Kind::HostLost | Kind::Draining | Kind::BadPeer | Kind::UnknownVersion | Kind::UnknownRoute
-    );
-    is_about_host && (route.repeatable || error.ran() == Ran::No)
-}
-
-/// Orders the relays: this host first, the others from a place given by the request.
-fn in_turn<'a>(relays: Vec<&'a Member>, own_id: &str, request_id: &str) -> Vec<&'a Member> {
-    let (mut own, mut others): (Vec<_>, Vec<_>) =
-        relays.into_iter().partition(|relay| relay.id == *own_id);
-    if !others.is_empty() {
-        let start = request_id.bytes().map(usize::from).sum::<usize>() % others.len();
-        others.rotate_left(start);
-    }
-    own.append(&mut others);
-    own
-}
-
-/// Orders the relays by their weight for a request that no host knows as harmless.
-fn owner_first(mut relays: Vec<&Member>, fingerprint: Fingerprint) -> Vec<&Member> {
-    relays.sort_by_key(|relay| Reverse(link::owner_weight(fingerprint, &relay.id)));
-    relays
-}
-
-fn time_left_ms(deadline: Instant) -> Result<u64> {
-    let left = deadline.saturating_duration_since(Instant::now());
-    let left = left.saturating_sub(Duration::from_millis(OWN_SHARE_MS));
-    match u64::try_from(left.as_millis()) {
-        Ok(0) | Err(_) => Err(Error::new(
-            Kind::TooLate,
-            "no time is left for the upstreams",
-        )),
-        Ok(left_ms) => Ok(left_ms),
-    }
-}
--- a/crates/process/host/src/relay/upkeep.rs
+++ b/crates/process/host/src/relay/upkeep.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{relay::upstreams::on_drain, shared::Shared},
-    fleet::relay_set,
     link::{connection_share, DrainSign},
     record::{ServerAddr, Service},
     std::{
@@ -56,24 +55,16 @@
 
 /// Returns how many connections this host may hold to each server of a service.
 pub(crate) fn share_of(shared: &Shared, service: &Service) -> u32 {
-    connection_share(service.connection_limit, relay_count(shared, service))
-}
-
-fn relay_count(shared: &Shared, service: &Service) -> usize {
-    let members = shared.members.all().len();
-    let wanted = service.relays.map(|relays| relays as usize);
-    let count = wanted.or(shared.settings.default_relays).unwrap_or(members);
-    // A fresh host knows only itself, so the record's count is never lowered to that.
-    wanted.map_or(count.min(members), |wanted| wanted)
+    let relays = shared.relay_sets.of(shared, service).planned;
+    connection_share(service.connection_limit, relays)
 }
 
 /// Returns the servers of all records, and makes the pools of those that this host relays for.
 fn servers_in_use(shared: &Shared) -> HashSet<ServerAddr> {
-    let members = shared.members.all();
     let mut in_use = HashSet::new();
     for service in shared.in_force().services() {
-        let relays = relay_set(&service.name, &members, relay_count(shared, service));
-        let is_relay = relays.iter().any(|m| m.id == shared.settings.member.id);
+        let set = shared.relay_sets.of(shared, service);
+        let is_relay = set.relays.iter().any(|m| m.id == shared.settings.member.id);
         let share = share_of(shared, service);
         let shards = service.indexes.iter().flat_map(|index| &index.shards);
         for server in shards.flat_map(|shard| &shard.servers) {
