--- a/crates/bin/wharf/tests/upstreams.rs
+++ b/crates/bin/wharf/tests/upstreams.rs
@@ -7,7 +7,7 @@
         process::{Layout, Path},
         upstream::Behaviour,
     },
-    http::StatusCode,
+    http::{Method, StatusCode},
     serde_json::{json, Value},
     std::{net::SocketAddr, time::Duration},
     tokio::time::sleep,
@@ -266,3 +266,60 @@
     assert_eq!(complete_of(&path, 10, 4, 8).await?, 40);
     Ok(())
 }
+
+/// Returns whether a host has counted an event of the links.
+async fn has_event(path: &Path, host: usize, event: &str) -> Result<bool> {
+    let addr = path.hosts[host].admin_addr;
+    let answer = path
+        .client
+        .send(Method::GET, addr, "/metrics", &[], "")
+        .await?;
+    let label = format!("event=\"{event}\"");
+    let mut lines = answer.text.lines();
+    Ok(lines.any(|line| line.contains(&label) && line.contains("part=\"link\"")))
+}
+
+#[tokio::test]
+async fn peers_learn_of_drains_and_of_poison_requests() -> Result<()> {
+    let path = Path::start(Layout {
+        hosts: 4,
+        relays: 2,
+        behaviour: Behaviour {
+            poison: Some("weevil".to_owned()),
+            ..Behaviour::default()
+        },
+        ..Layout::default()
+    })
+    .await?;
+    path.configure().await?;
+    // By then every host knows the others, so that they agree on the relays.
+    sleep(AFTER_A_SIGN).await;
+    let poison = r#"{"item":"weevil"}"#;
+    path.query(0, "shortfall", &[ONE_SECOND], poison).await?;
+    sleep(AFTER_A_SIGN).await;
+    let crashes = path.seen().await?.crashes;
+    let mut path = path;
+    for host in (0..path.hosts.len()).rev() {
+        if has_event(&path, host, "quarantine").await? {
+            path.hosts.remove(host).process.kill();
+        }
+    }
+    assert_eq!(path.hosts.len(), 3, "one relay has seen the crashes");
+    for host in 0..path.hosts.len() {
+        let answer = path.query(host, "shortfall", &[ONE_SECOND], poison).await?;
+        // An entry that tried the lost relay first cannot say what happened there.
+        assert_eq!(answer.json()["kind"], "quarantined", "{}", answer.text);
+    }
+    assert_eq!(path.seen().await?.crashes, crashes);
+    let draining = Behaviour {
+        is_draining: true,
+        ..Behaviour::default()
+    };
+    path.set_behaviour(&draining).await?;
+    query(&path, 0).await?;
+    sleep(AFTER_A_SIGN).await;
+    for host in 0..path.hosts.len() {
+        assert!(has_event(&path, host, "drain").await?, "host {host}");
+    }
+    Ok(())
+}
--- a/crates/connection/link/src/delta.rs
+++ b/crates/connection/link/src/delta.rs
@@ -83,6 +83,18 @@
 }
 
 impl QuarantineDelta {
+    /// Returns the delta as it holds after `time`.
+    pub fn aged(mut self, time: Duration) -> Self {
+        for mark in &mut self.marks {
+            mark.age = mark.age.saturating_add(time);
+        }
+        self.held_back.retain(|held| held.left > time);
+        for held in &mut self.held_back {
+            held.left -= time;
+        }
+        self
+    }
+
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
         self.marks.is_empty() && self.held_back.is_empty()
--- a/crates/connection/link/src/quarantine.rs
+++ b/crates/connection/link/src/quarantine.rs
@@ -166,22 +166,22 @@
         let mut delta = QuarantineDelta::default();
         for part in &self.parts {
             for (fingerprint, suspect) in &part.lock().suspects {
-                let fingerprint = *fingerprint;
-                let crashes = suspect.crashes().iter();
-                let marks = crashes.filter(|_| suspect.is_shared()).map(|crash| Mark {
-                    fingerprint,
-                    server: crash.server,
-                    age: now.saturating_duration_since(crash.at),
-                });
-                delta.marks.extend(marks);
-                if let Some(left) = suspect.held_for(now) {
-                    delta.held_back.push(HeldBack { fingerprint, left });
-                }
+                add_to(&mut delta, *fingerprint, suspect, now);
             }
         }
         delta
     }
 
+    /// Returns what peers need to know about one fingerprint.
+    pub fn delta_of(&self, fingerprint: Fingerprint, now: Instant) -> QuarantineDelta {
+        let mut delta = QuarantineDelta::default();
+        let part = self.part(fingerprint).lock();
+        if let Some(suspect) = part.suspects.get(&fingerprint) {
+            add_to(&mut delta, fingerprint, suspect, now);
+        }
+        delta
+    }
+
     /// Takes what a peer knows; taking it twice changes nothing.
     pub fn merge(&self, delta: &QuarantineDelta, now: Instant) {
         for mark in &delta.marks {
@@ -239,6 +239,19 @@
     }
 }
 
+fn add_to(delta: &mut QuarantineDelta, fingerprint: Fingerprint, suspect: &Suspect, now: Instant) {
+    let crashes = suspect.crashes().iter();
+    let marks = crashes.filter(|_| suspect.is_shared()).map(|crash| Mark {
+        fingerprint,
+        server: crash.server,
+        age: now.saturating_duration_since(crash.at),
+    });
+    delta.marks.extend(marks);
+    if let Some(left) = suspect.held_for(now) {
+        delta.held_back.push(HeldBack { fingerprint, left });
+    }
+}
+
 fn is_recent(crash: &Crash, now: Instant) -> bool {
     now.saturating_duration_since(crash.at) < MASS_WINDOW
 }
--- a/crates/process/host/src/members.rs
+++ b/crates/process/host/src/members.rs
@@ -24,10 +24,13 @@
     },
 };
 
-/// Pause between two reads of the list while no peer is known.
-const LONELY_LIST_PAUSE: Duration = Duration::from_secs(1);
-/// Pause between two reads of the list once peers are known.
-const LIST_PAUSE: Duration = Duration::from_secs(30);
+/// Shortest pause between two reads of the list.
+const MIN_LIST_PAUSE: Duration = Duration::from_secs(1);
+/// Pause for each known host, so that some host reads the list twice a second
+/// and tells the others which upstreams leave.
+const LIST_PAUSE_PER_HOST: Duration = Duration::from_millis(500);
+/// Longest pause between two reads of the list.
+const MAX_LIST_PAUSE: Duration = Duration::from_secs(30);
 /// Facts that wait for a part of the host that is slow to take them.
 const FACT_BACKLOG: usize = 1_024;
 /// Exchanges by which a host that leaves says so.
@@ -94,28 +97,17 @@
     }
 
     /// Tells the fleet a fact; returns whether it was news here.
-    #[expect(
-        dead_code,
-        reason = "the upstreams' drains and the quarantine will call it"
-    )]
     pub(crate) fn tell(&self, fact: Fact) -> bool {
         self.exchange.lock().tell(fact, Instant::now())
     }
 
     /// Returns a fact that holds.
-    #[expect(
-        dead_code,
-        reason = "the upstreams' drains and the quarantine will call it"
-    )]
+    #[expect(dead_code, reason = "no part looks facts up by key yet")]
     pub(crate) fn fact(&self, key: &FactKey) -> Option<Fact> {
         self.exchange.lock().fact(key, Instant::now())
     }
 
     /// Returns the facts that peers tell from now on.
-    #[expect(
-        dead_code,
-        reason = "the upstreams' drains and the quarantine will call it"
-    )]
     pub(crate) fn told_facts(&self) -> broadcast::Receiver<Fact> {
         self.facts.subscribe()
     }
@@ -257,13 +249,9 @@
             }
             Err(fault) => log::warn!(target: "members", "List not read: {fault:?}."),
         }
-        let is_lonely = shared.members.all().len() < 2;
-        let pause = if is_lonely {
-            LONELY_LIST_PAUSE
-        } else {
-            LIST_PAUSE
-        };
-        sleep(jittered(pause)).await;
+        let hosts = u32::try_from(shared.members.all().len()).unwrap_or(u32::MAX);
+        let pause = LIST_PAUSE_PER_HOST.saturating_mul(hosts);
+        sleep(jittered(pause.clamp(MIN_LIST_PAUSE, MAX_LIST_PAUSE))).await;
     }
 }
 
--- a/crates/process/host/src/relay/canary.rs
+++ b/crates/process/host/src/relay/canary.rs
@@ -1,7 +1,7 @@
 //! The way of a call past the quarantine: pass, go as a canary, wait, or be held back.
 
 use {
-    crate::shared::Shared,
+    crate::{relay::news, shared::Shared},
     kind::{Error, Kind, Ran, Result},
     link::{Clearance, Fingerprint, Outcome, Quarantine},
     plan::{LeafFault, Reason, Refusal},
@@ -19,6 +19,17 @@
     signals: Vec<Notify>,
 }
 
+/// What the end of a call means for its fingerprint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ended {
+    /// Nothing against it.
+    Well,
+    /// A canary crashed its server.
+    InCrash,
+    /// The crash of a canary began a quarantine.
+    InQuarantine,
+}
+
 /// A call that may run; its end goes to the quarantine.
 pub(crate) struct Cleared<'a> {
     canaries: &'a Canaries,
@@ -82,8 +93,8 @@
 }
 
 impl Cleared<'_> {
-    /// Takes the end of the call, and returns whether a quarantine begins.
-    pub(crate) fn on_end(mut self, fault: Option<LeafFault>) -> bool {
+    /// Takes the end of the call, and returns what it means for its fingerprint.
+    pub(crate) fn on_end(mut self, fault: Option<LeafFault>) -> Ended {
         self.is_ended = true;
         self.end(match fault {
             None => Outcome::Success,
@@ -92,18 +103,22 @@
         })
     }
 
-    fn end(&self, outcome: Outcome) -> bool {
+    fn end(&self, outcome: Outcome) -> Ended {
         let now = Instant::now();
         let quarantine = &self.canaries.quarantine;
         if !self.is_canary {
             if outcome == Outcome::Crash {
                 quarantine.on_crash_in_fan_out(self.fingerprint, self.server, now);
             }
-            return false;
+            return Ended::Well;
         }
         let begins = quarantine.on_canary_end(self.fingerprint, self.server, outcome, now);
         self.canaries.signal(self.fingerprint).notify_waiters();
-        begins
+        match outcome {
+            Outcome::Crash if begins => Ended::InQuarantine,
+            Outcome::Crash => Ended::InCrash,
+            _ => Ended::Well,
+        }
     }
 }
 
@@ -130,13 +145,19 @@
     Err(Error::new(Kind::Quarantined, detail).with_retry_after(left))
 }
 
-/// Reports that a fingerprint is held back from now on.
-pub(crate) fn on_quarantine(shared: &Shared, route: &str, fingerprint: Fingerprint) {
-    shared.metrics.on_event("link", "quarantine");
-    log::warn!(
-        target: "link",
-        "Request {fingerprint:016x} on route {route} is held back, it has crashed upstreams."
-    );
+/// Reports the end of a call here and to peers.
+pub(crate) fn on_ended(shared: &Shared, route: &str, fingerprint: Fingerprint, ended: Ended) {
+    if ended == Ended::Well {
+        return;
+    }
+    news::tell_quarantine(shared, fingerprint);
+    if ended == Ended::InQuarantine {
+        shared.metrics.on_event("link", "quarantine");
+        log::warn!(
+            target: "link",
+            "Request {fingerprint:016x} on route {route} is held back, it has crashed upstreams."
+        );
+    }
 }
 
 /// Returns the fault of a call that is held back.
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -153,9 +153,8 @@
             is_repeatable: self.is_repeatable,
         };
         let result = leaf::call(&target, self.request_id, &call, &wire).await;
-        if cleared.on_end(result.as_ref().err().copied()) {
-            canary::on_quarantine(self.shared, self.route, self.fingerprint);
-        }
+        let ended = cleared.on_end(result.as_ref().err().copied());
+        canary::on_ended(self.shared, self.route, self.fingerprint, ended);
         let result = result.map_err(|fault| failed(&call, fault));
         let latency = began.elapsed();
         let reason = result.as_ref().err().map(|failure| failure.reason);
--- a/crates/process/host/src/relay/upstreams.rs
+++ b/crates/process/host/src/relay/upstreams.rs
@@ -1,7 +1,10 @@
 //! What the calls of this host have found about upstreams, as a query asks for it.
 
 use {
-    crate::{relay::exchange::Exchanged, shared::Shared},
+    crate::{
+        relay::{exchange::Exchanged, news},
+        shared::Shared,
+    },
     link::{DrainSign, Evidence, Refusal, ServerTable},
     plan::{LeafFault, Reason, Upstreams},
     record::{ServerAddr, Shard},
@@ -93,6 +96,9 @@
     if shared.servers.on_drain(server, sign, Instant::now()) {
         log::info!(target: "link", "Upstream {server} drains, first sign: {sign:?}.");
         shared.metrics.on_event("link", "drain");
+        if sign != DrainSign::Peer {
+            news::tell_drain(shared, server);
+        }
     }
 }
 
--- a/crates/process/host/src/run.rs
+++ b/crates/process/host/src/run.rs
@@ -76,6 +76,7 @@
         spawn(members::follow_list(Arc::clone(&shared))),
         spawn(members::run_exchange(Arc::clone(&shared))),
         spawn(relay::keep_up(Arc::clone(&shared))),
+        spawn(relay::follow_news(Arc::clone(&shared))),
     ];
     Ok(RunningHost {
         entry_addr,
