--- a/crates/process/host/src/members.rs
+++ b/crates/process/host/src/members.rs
@@ -5,9 +5,7 @@
 
 use {
     crate::{peer, relay, shared::Shared, Settings},
-    fleet::{
-        Entry, Exchange, Fact, FactKey, Learned, Member, Message, Outgoing, Progress, Standing,
-    },
+    fleet::{Entry, Exchange, Fact, Learned, Member, Message, Outgoing, Progress, Standing},
     parking_lot::{Mutex, RwLock},
     rand::{rngs::StdRng, Rng, SeedableRng},
     record::{HostId, Revision},
@@ -101,11 +99,6 @@
         self.exchange.lock().tell(fact, Instant::now())
     }
 
-    /// Returns a fact that holds.
-    pub(crate) fn fact(&self, key: &FactKey) -> Option<Fact> {
-        self.exchange.lock().fact(key, Instant::now())
-    }
-
     /// Returns the facts that peers tell from now on.
     pub(crate) fn told_facts(&self) -> broadcast::Receiver<Fact> {
         self.facts.subscribe()
