--- a/crates/process/host/src/entry/forward.rs
+++ b/crates/process/host/src/entry/forward.rs
@@ -155,7 +155,7 @@
         return Ok(answer);
     }
     Err(Error::new(
-        Kind::HostLost,
+        Kind::Internal,
         "the relay answered another request",
     ))
 }
