--- a/crates/process/host/src/admin/records.rs
+++ b/crates/process/host/src/admin/records.rs
@@ -184,7 +184,7 @@
 }
 
 async fn run(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     headers: &HeaderMap,
     change: Commit,
 ) -> Result<Json<Accepted>, Problem> {
@@ -234,7 +234,7 @@
 }
 
 /// Finds the host that holds the highest revision above `revision`.
-async fn newest_peer(shared: &Shared, revision: Revision) -> Option<(String, Revision)> {
+async fn newest_peer(shared: &Arc<Shared>, revision: Revision) -> Option<(String, Revision)> {
     let views = crate::admin::in_force::ask_all(shared).await;
     views
         .into_iter()
@@ -245,7 +245,7 @@
 
 /// Tells the kind of a record, from what is in force or from its history.
 async fn known_id(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     name: &str,
     version: RecordVersion,
     kind: Option<RecordKind>,
--- a/crates/test/fakes/src/process.rs
+++ b/crates/test/fakes/src/process.rs
@@ -293,6 +293,15 @@
     ///
     /// Returns an error if the process does not start.
     pub fn add_host(&mut self, id: &str, zone: &str) -> Result<()> {
+        self.add_host_with(id, zone, &[])
+    }
+
+    /// Starts a further host with flags of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process does not start.
+    pub fn add_host_with(&mut self, id: &str, zone: &str, flags: &[String]) -> Result<()> {
         let (entry_addr, peer_addr, admin_addr) = (free_addr()?, free_addr()?, free_addr()?);
         let mut arguments = vec![
             format!("--host-id={id}"),
@@ -307,6 +316,7 @@
             "--log-level=warn".to_owned(),
         ];
         arguments.extend(self.layout.host_flags.iter().cloned());
+        arguments.extend_from_slice(flags);
         self.hosts.push(HostProcess {
             id: id.to_owned(),
             zone: zone.to_owned(),
