--- a/crates/process/host/src/lib.rs
+++ b/crates/process/host/src/lib.rs
@@ -5,6 +5,7 @@
 //! carries actions out.
 
 mod admin;
+mod claims;
 mod config;
 mod counted;
 mod entry;
@@ -19,6 +20,7 @@
 mod shared;
 
 pub use crate::{
+    config::MAX_LOOK_TIME,
     run::{run, RunningHost},
     settings::{RawSettings, Settings},
 };
--- a/crates/process/host/src/members.rs
+++ b/crates/process/host/src/members.rs
@@ -5,9 +5,7 @@
 
 use {
     crate::{peer, relay, shared::Shared, Settings},
-    fleet::{
-        Entry, Exchange, Fact, FactKey, Learned, Member, Message, Outgoing, Progress, Standing,
-    },
+    fleet::{Entry, Exchange, Fact, Learned, Member, Message, Outgoing, Progress, Standing},
     parking_lot::{Mutex, RwLock},
     rand::{rngs::StdRng, Rng, SeedableRng},
     record::{HostId, Revision},
@@ -101,19 +99,12 @@
         self.exchange.lock().tell(fact, Instant::now())
     }
 
-    /// Returns a fact that holds.
-    #[expect(dead_code, reason = "no part looks facts up by key yet")]
-    pub(crate) fn fact(&self, key: &FactKey) -> Option<Fact> {
-        self.exchange.lock().fact(key, Instant::now())
-    }
-
     /// Returns the facts that peers tell from now on.
     pub(crate) fn told_facts(&self) -> broadcast::Receiver<Fact> {
         self.facts.subscribe()
     }
 
     /// Returns the peers that turn out to have a higher revision in force.
-    #[expect(dead_code, reason = "adoption from peers will call it")]
     pub(crate) fn newer(&self) -> watch::Receiver<Option<Newer>> {
         self.newer.subscribe()
     }
--- a/crates/process/host/src/run.rs
+++ b/crates/process/host/src/run.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        admin, config,
+        admin,
+        claims::Claims,
+        config::{self, Refused},
         entry::{self, Choices},
         life::LifeWatch,
         members::{self, Members},
@@ -73,6 +75,7 @@
         spawn(peer::serve(Arc::clone(&shared), peers)),
         spawn(serve_http(admin, admin::router(Arc::clone(&shared)))),
         spawn(config::follow_head(Arc::clone(&shared))),
+        spawn(config::follow_peers(Arc::clone(&shared))),
         spawn(members::follow_list(Arc::clone(&shared))),
         spawn(members::run_exchange(Arc::clone(&shared))),
         spawn(relay::keep_up(Arc::clone(&shared))),
@@ -93,6 +96,8 @@
         metrics: Metrics::new()?,
         platform: HttpPlatform::new(settings.platform_addr, PLATFORM_TIMEOUT),
         config: watch::Sender::new(Arc::new(InForce::default())),
+        refused: Refused::default(),
+        claims: Claims::default(),
         members: Members::new(settings.member.clone()),
         relay_sets: RelaySets::default(),
         choices: Choices::default(),
