--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -4,7 +4,7 @@
     crate::{
         relay::{
             canary,
-            gate::{self, Tally},
+            gate::{self, Place, Tally},
             leaf::{self, Target},
             upkeep,
             upstreams::Picker,
@@ -14,19 +14,23 @@
     fleet::{QueryAnswer, QueryCall},
     futures::{
         future::{AbortHandle, Abortable},
+        poll,
         stream::{FuturesUnordered, StreamExt},
     },
     kind::{Error, Kind, Result},
     link::Fingerprint,
     meter::LeafLabels,
     plan::{
-        Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFailure, LeafFault, Limits, Pin,
-        Reason, RequestId,
+        Action, Answer, AttemptId, Event, Gather, Group, LeafCall, LeafFailure, LeafFault, Limits,
+        Pin, Reason, RequestId,
     },
+    record::Service,
     serde_json::value::RawValue,
     std::{
         collections::HashMap,
         future::Future,
+        pin::pin,
+        task::Poll,
         time::{Duration, Instant},
     },
     tokio::{select, time::sleep_until},
@@ -58,7 +62,8 @@
     };
     let fingerprint = link::fingerprint(&route.name, call.query.get());
     canary::check(shared, fingerprint)?;
-    let place = gate::admit(shared, &service, &call, limits.deadline).await?;
+    let group = shared.groups.get(&service.name);
+    let place = admit(shared, &service, &call, &limits, &group).await?;
     let run = Run {
         shared,
         tally: Tally::default(),
@@ -74,7 +79,7 @@
     let gather = Gather::new(request_id, pin, limits)
         .with_coverage(route.coverage)
         .with_hedge(route.hedge)
-        .with_group(shared.groups.get(&service.name));
+        .with_group(group);
     let answer = run.drive(gather).await;
     place.complete(run.tally);
     Ok(QueryAnswer::new(
@@ -84,6 +89,24 @@
     ))
 }
 
+/// Waits for the query's turn; a query that has to wait is a sign of load.
+async fn admit(
+    shared: &Shared,
+    service: &Service,
+    call: &QueryCall,
+    limits: &Limits,
+    group: &Group,
+) -> Result<Place> {
+    let mut admission = pin!(gate::admit(shared, service, call, limits.deadline));
+    match poll!(admission.as_mut()) {
+        Poll::Ready(place) => place,
+        Poll::Pending => {
+            group.on_wait(Instant::now());
+            admission.await
+        }
+    }
+}
+
 struct Run<'a> {
     shared: &'a Shared,
     tally: Tally,
