--- a/crates/bin/wharf/tests/bookings.rs
+++ b/crates/bin/wharf/tests/bookings.rs
@@ -168,3 +168,29 @@
     assert!(most_runs(&path).await? <= 1);
     Ok(())
 }
+
+/// Bookings whose calls to the store are counted.
+const COUNTED: u64 = 20;
+
+#[tokio::test]
+async fn a_booking_costs_two_writes_and_a_share_of_a_lease() -> Result<()> {
+    let path = start().await?;
+    let before = path.platform_calls().await?;
+    for i in 0..COUNTED {
+        let key = format!("slot-{i}");
+        let headers = [("idempotency-key", key.as_str())];
+        let booked = path.query(0, "tow-slot", &headers, BODY).await?;
+        assert!(booked.status.is_success(), "{}", booked.text);
+    }
+    let booked = path.platform_calls().await?;
+    assert_eq!(booked.puts - before.puts, 2 * COUNTED);
+    // Each host may look at the head once meanwhile.
+    assert!(booked.gets - before.gets <= path.hosts.len() as u64);
+    assert_eq!(booked.leases - before.leases, 1);
+    let headers = [("idempotency-key", "slot-0")];
+    path.query(0, "tow-slot", &headers, BODY).await?;
+    let resent = path.platform_calls().await?;
+    assert_eq!(resent.puts - booked.puts, 1);
+    assert!(resent.gets > booked.gets);
+    Ok(())
+}
