--- a/crates/test/model/src/lib.rs
+++ b/crates/test/model/src/lib.rs
@@ -5,11 +5,12 @@
 //! breadth first, so that a violation comes with its shortest trace. The rules
 //! are not written again here: the models call the decisions that hosts run.
 //!
-//! A model takes a mutant, which replaces one rule by a wrong one. A promise
-//! that no mutant breaks would prove nothing.
+//! A model takes a mutant, which replaces one rule by a wrong one, to show that
+//! the search finds what breaks when the rule does not hold.
 
 pub mod claims;
 pub mod commit;
 mod explore;
+pub mod merge;
 
 pub use crate::explore::{explore, Model, Report, Step, Violation};
