Run trials of the gate under paused time

The runner drives the real gate and the real query decisions against fakes of upstream servers (slots, queue, exponential times, connections) under tokio's paused time, a thousand times scaled, since tokio's timers have a resolution of one millisecond. Two runs of a trial print the same bytes.

--- /dev/null
+++ b/crates/test/trial/examples/trial.rs
@@ -0,0 +1,105 @@
+//! Runs a trial from the command line and prints its table.
+
+use {
+    clap::{
+        builder::{PossibleValuesParser, RangedU64ValueParser},
+        value_parser, Arg, ArgMatches, Command,
+    },
+    std::time::Duration,
+    trial::{Controller, GateKind, Load, Service, Trial},
+};
+
+fn main() {
+    let matches = command().get_matches();
+    let floor_share = match text(&matches, "floors") {
+        "landesamt" => Trial::landesamt_floors(),
+        _ => Trial::tallapoosa_floors(),
+    };
+    let load = match text(&matches, "load") {
+        "straggler" => Load::straggler(),
+        "flood-background" => Load::flood_of_background(),
+        "flood-urgent" => Load::flood_of_urgent(&floor_share),
+        _ => Load::calm(),
+    };
+    let service = match text(&matches, "service") {
+        "fair-ledger" => Service::fair_ledger(),
+        "pooled" => Service::pooled(),
+        _ => Service::restock_desk(),
+    };
+    let gate_kind = match text(&matches, "gate") {
+        "leaf" => GateKind::Leaf,
+        _ => GateKind::Query,
+    };
+    let mut trial = Trial::new(service, load)
+        .floor_share(floor_share)
+        .gate_kind(gate_kind)
+        .controller(controller(&matches))
+        .relays(number(&matches, "relays") as usize)
+        .duration(Duration::from_secs(number(&matches, "seconds")))
+        .seed(number(&matches, "seed"));
+    if matches.get_flag("lose-relay") {
+        trial = trial.with_relay_loss();
+    }
+    println!("{}", trial.run());
+}
+
+fn controller(matches: &ArgMatches) -> Controller {
+    match text(matches, "controller") {
+        "aimd" => Controller::Aimd,
+        "gradient" => Controller::Gradient,
+        "fixed" => Controller::Fixed(number(matches, "window") as usize),
+        _ => Controller::Delay,
+    }
+}
+
+fn command() -> Command {
+    Command::new("trial")
+        .about("Runs the decisions of a relay under paused time and prints a table by rank")
+        .arg(choice("service", &["restock-desk", "fair-ledger", "pooled"]).help("Sizes"))
+        .arg(
+            choice(
+                "load",
+                &["calm", "straggler", "flood-background", "flood-urgent"],
+            )
+            .help("Offered load; a flood is ten times the capacity"),
+        )
+        .arg(choice("floors", &["tallapoosa", "landesamt"]).help("Floors of the ranks"))
+        .arg(choice("gate", &["query", "leaf"]).help("Where queries wait"))
+        .arg(
+            choice("controller", &["delay", "aimd", "gradient", "fixed"])
+                .help("Control of the window"),
+        )
+        .arg(count("window", "32", 1..=10_000).help("Total of a fixed window"))
+        .arg(count("relays", "2", 1..=8).help("Relays among the 8 hosts"))
+        .arg(count("seconds", "10", 1..=600).help("Simulated seconds after the warm-up"))
+        .arg(count("seed", "1", 0..=1_000_000).help("Seed of every random number"))
+        .arg(
+            Arg::new("lose-relay")
+                .long("lose-relay")
+                .action(clap::ArgAction::SetTrue)
+                .help("Lose a relay at a quarter of the time and replace it at half"),
+        )
+}
+
+fn choice(name: &'static str, values: &[&'static str]) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(values[0])
+        .value_parser(PossibleValuesParser::new(values.to_vec()))
+}
+
+fn count(name: &'static str, default: &'static str, allowed: std::ops::RangeInclusive<u64>) -> Arg {
+    let parser: RangedU64ValueParser = value_parser!(u64).range(allowed);
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(parser)
+}
+
+fn text<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
+    matches.get_one::<String>(name).map_or("", String::as_str)
+}
+
+fn number(matches: &ArgMatches, name: &str) -> u64 {
+    matches.get_one(name).copied().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/test/trial/src/controller.rs
@@ -0,0 +1,74 @@
+//! What a trial varies at the gate.
+
+use {
+    admit::{Aimd, Bounds, DelayAimd, Fixed, Gradient, Shown, Window},
+    std::time::Instant,
+};
+
+/// Where queries wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GateKind {
+    /// At one gate for the whole query.
+    Query,
+    /// At each upstream, as leaf calls that are dropped when they get late.
+    Leaf,
+}
+
+/// Control of the window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Controller {
+    /// A constant total over all relays.
+    Fixed(usize),
+    /// Additive increase, multiplicative decrease on sheds.
+    Aimd,
+    /// Additive increase, multiplicative decrease on queueing delay.
+    Delay,
+    /// Gradient of the latency.
+    Gradient,
+}
+
+/// A window of any of the kinds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum AnyWindow {
+    Fixed(Fixed),
+    Aimd(Aimd),
+    Delay(DelayAimd),
+    Gradient(Gradient),
+}
+
+impl Controller {
+    pub(crate) fn window(self, slots: u32, relays: usize) -> AnyWindow {
+        let bounds = Bounds::for_slots(slots, relays);
+        match self {
+            Self::Fixed(total) => AnyWindow::Fixed(Fixed::new(total.div_ceil(relays))),
+            Self::Aimd => AnyWindow::Aimd(Aimd::new(bounds)),
+            Self::Delay => AnyWindow::Delay(DelayAimd::new(bounds)),
+            Self::Gradient => AnyWindow::Gradient(Gradient::new(bounds)),
+        }
+    }
+}
+
+macro_rules! each {
+    ($any:expr, $window:ident => $call:expr) => {
+        match $any {
+            AnyWindow::Fixed($window) => $call,
+            AnyWindow::Aimd($window) => $call,
+            AnyWindow::Delay($window) => $call,
+            AnyWindow::Gradient($window) => $call,
+        }
+    };
+}
+
+impl Window for AnyWindow {
+    fn limit(&self) -> usize {
+        each!(self, window => window.limit())
+    }
+
+    fn on_complete(&mut self, shown: &Shown, in_flight: usize, now: Instant) {
+        each!(self, window => window.on_complete(shown, in_flight, now));
+    }
+
+    fn set_bounds(&mut self, bounds: Bounds) {
+        each!(self, window => window.set_bounds(bounds));
+    }
+}
--- /dev/null
+++ b/crates/test/trial/src/pool.rs
@@ -0,0 +1,69 @@
+//! The connections of one relay to one server.
+
+use {
+    crate::{clock::Clock, server::Server},
+    std::{cell::Cell, rc::Rc, time::Duration},
+    tokio::sync::{Semaphore, SemaphorePermit},
+};
+
+/// Connections to one server, opened when they are first needed.
+pub(crate) struct Pool {
+    pub(crate) server: Rc<Server>,
+    permits: Semaphore,
+    idle: Cell<usize>,
+    connect: Duration,
+    clock: Clock,
+    /// Calls that wait or run.
+    pub(crate) busy: Cell<usize>,
+}
+
+pub(crate) struct Connection<'a> {
+    pool: &'a Pool,
+    _permit: Option<SemaphorePermit<'a>>,
+}
+
+impl Pool {
+    pub(crate) fn new(server: Rc<Server>, limit: usize, connect: Duration, clock: Clock) -> Self {
+        Self {
+            server,
+            permits: Semaphore::new(limit.max(1)),
+            idle: Cell::new(0),
+            connect,
+            clock,
+            busy: Cell::new(0),
+        }
+    }
+
+    pub(crate) fn enter(&self) -> Busy<'_> {
+        self.busy.set(self.busy.get() + 1);
+        Busy(&self.busy)
+    }
+
+    pub(crate) async fn checkout(&self) -> Connection<'_> {
+        let permit = self.permits.acquire().await.ok();
+        if self.idle.get() > 0 {
+            self.idle.set(self.idle.get() - 1);
+        } else {
+            self.clock.sleep(self.connect).await;
+        }
+        Connection {
+            pool: self,
+            _permit: permit,
+        }
+    }
+}
+
+/// Counts a call that waits or runs.
+pub(crate) struct Busy<'a>(&'a Cell<usize>);
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Drop for Connection<'_> {
+    fn drop(&mut self) {
+        self.pool.idle.set(self.pool.idle.get() + 1);
+    }
+}
--- /dev/null
+++ b/crates/test/trial/src/query.rs
@@ -0,0 +1,223 @@
+//! One query: its way through an entry and a relay, and its calls.
+
+use {
+    crate::{
+        door::Passer,
+        relay::{LeafKind, Relay},
+        service::position_of,
+    },
+    admit::{RefusalKind, Shown},
+    futures::{
+        future::{AbortHandle, Abortable},
+        stream::{FuturesUnordered, StreamExt},
+    },
+    kind::Ran,
+    plan::{
+        Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFailure, LeafReply, Limits, Pin,
+        Reason, RequestId, Upstreams,
+    },
+    record::{ServerAddr, Shard},
+    std::{
+        cell::RefCell,
+        collections::HashMap,
+        future::Future,
+        time::{Duration, Instant},
+    },
+    tokio::select,
+};
+
+/// How a query ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Outcome {
+    /// Every shard answered.
+    Complete,
+    /// Some shards are missing.
+    Short,
+    /// The gate refused the query.
+    Refused(RefusalKind),
+    /// The relay was lost.
+    Lost,
+}
+
+/// A query on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct Query {
+    pub(crate) request_id: RequestId,
+    pub(crate) passer: Passer,
+}
+
+#[derive(Default)]
+struct LeafCounts {
+    latencies: Vec<Duration>,
+    sheds: u32,
+}
+
+/// Prefers the server with the fewest calls of this relay.
+struct LeastBusy<'a> {
+    relay: &'a Relay,
+    request_id: RequestId,
+}
+
+impl Upstreams for LeastBusy<'_> {
+    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], _: Instant) -> Option<ServerAddr> {
+        let turn = self.request_id as usize % shard.servers.len();
+        let in_turn = shard.servers[turn..].iter().chain(&shard.servers[..turn]);
+        let busy = |addr| self.relay.pools[position_of(addr)].busy.get();
+        in_turn
+            .map(|server| server.addr)
+            .min_by_key(|addr| (tried.contains(addr), busy(*addr)))
+    }
+}
+
+impl Relay {
+    /// Serves a query to its end, unless the relay is lost before.
+    pub(crate) async fn serve(&self, query: &Query) -> Outcome {
+        let mut is_lost = self.is_lost.subscribe();
+        select! {
+            biased;
+            _ = is_lost.wait_for(|is_lost| *is_lost) => Outcome::Lost,
+            outcome = self.admit_and_run(query) => outcome,
+        }
+    }
+
+    async fn admit_and_run(&self, query: &Query) -> Outcome {
+        let place = match self.door.pass(&query.passer).await {
+            Ok(place) => place,
+            Err(refusal) => return Outcome::Refused(refusal.kind),
+        };
+        let counts = RefCell::new(LeafCounts::default());
+        let answer = self.drive(query, &counts).await;
+        let counts = counts.into_inner();
+        place.complete(&Shown::new(counts.latencies, counts.sheds));
+        if answer.coverage.is_complete() {
+            Outcome::Complete
+        } else {
+            Outcome::Short
+        }
+    }
+
+    async fn drive(&self, query: &Query, counts: &RefCell<LeafCounts>) -> Answer<()> {
+        let limits = Limits {
+            deadline: query.passer.deadline,
+            is_repeatable: true,
+        };
+        let pin = Pin::newest(&self.service).expect("the service has an index");
+        let mut gather = Gather::new(query.request_id, pin, limits);
+        let mut pick = LeastBusy {
+            relay: self,
+            request_id: query.request_id,
+        };
+        let mut calls = FuturesUnordered::new();
+        let mut handles: HashMap<AttemptId, AbortHandle> = HashMap::new();
+        let mut actions = gather.start(&mut pick, self.clock.now());
+        loop {
+            for action in actions {
+                match action {
+                    Action::Call(call) => {
+                        let (handle, registration) = AbortHandle::new_pair();
+                        handles.insert(call.attempt_id, handle);
+                        let call = self.make_call(call, query, counts);
+                        calls.push(Abortable::new(call, registration));
+                    }
+                    Action::Cancel(attempt_id) => {
+                        if let Some(handle) = handles.remove(&attempt_id) {
+                            handle.abort();
+                        }
+                    }
+                    Action::Finish(answer) => return answer,
+                }
+            }
+            let wake = gather.next_wake().unwrap_or(query.passer.deadline);
+            let event = self.next_event(&mut calls, wake).await;
+            actions = gather.on_event(event, &mut pick, self.clock.now());
+        }
+    }
+
+    async fn next_event<F>(
+        &self,
+        calls: &mut FuturesUnordered<Abortable<F>>,
+        wake: Instant,
+    ) -> Event<()>
+    where
+        F: Future<Output = Event<()>>,
+    {
+        loop {
+            select! {
+                biased;
+                Some(done) = calls.next() => {
+                    if let Ok(event) = done {
+                        return event;
+                    }
+                }
+                () = self.clock.sleep_until(wake) => return Event::Wake,
+            }
+        }
+    }
+
+    async fn make_call(
+        &self,
+        call: LeafCall,
+        query: &Query,
+        counts: &RefCell<LeafCounts>,
+    ) -> Event<()> {
+        let began = self.clock.now();
+        // A query numbers its calls from 1, the first of each shard before all others.
+        let is_first = call.attempt_id <= u64::from(self.shards());
+        let result = self
+            .call_server(position_of(call.server), is_first, &query.passer)
+            .await;
+        let mut counts = counts.borrow_mut();
+        match result {
+            Ok(()) => {
+                counts
+                    .latencies
+                    .push(self.clock.now().saturating_duration_since(began));
+                let reply = LeafReply {
+                    request_id: query.request_id,
+                    attempt_id: call.attempt_id,
+                    shard: call.shard,
+                    index_version: call.index_version,
+                    rows: (),
+                };
+                Event::Replied(call.attempt_id, reply)
+            }
+            Err(reason) => {
+                counts.sheds += u32::from(reason == Reason::Shed);
+                let failure = LeafFailure {
+                    reason,
+                    ran: Ran::No,
+                    newest_version: None,
+                };
+                Event::Failed(call.attempt_id, failure)
+            }
+        }
+    }
+
+    fn shards(&self) -> u32 {
+        self.service.indexes[0].shards.len() as u32
+    }
+
+    async fn call_server(
+        &self,
+        position: usize,
+        is_first: bool,
+        passer: &Passer,
+    ) -> Result<(), Reason> {
+        let pool = &self.pools[position];
+        let _busy = pool.enter();
+        let place = match &self.leaf {
+            LeafKind::Direct => None,
+            LeafKind::Queued(doors) => {
+                let passed = doors[position].pass(passer).await;
+                Some(passed.map_err(|_| Reason::Deadline)?)
+            }
+        };
+        let connection = pool.checkout().await;
+        let result = pool.server.call(is_first).await;
+        drop(connection);
+        if let Some(place) = place {
+            place.complete(&Shown::default());
+        }
+        result.map_err(|_| Reason::Shed)
+    }
+}
--- /dev/null
+++ b/crates/test/trial/src/relay.rs
@@ -0,0 +1,79 @@
+//! A relay: its gate and its connections.
+
+use {
+    crate::{
+        clock::Clock,
+        controller::{AnyWindow, GateKind},
+        door::Door,
+        pool::Pool,
+        server::Server,
+        trial::Trial,
+    },
+    admit::{Config, Fixed},
+    std::{rc::Rc, sync::Arc},
+    tokio::sync::watch,
+};
+
+/// Window of a gate that lets every query through.
+const NO_WINDOW: usize = 1_000_000;
+/// Leaf calls that wait, in trials with queues at the leaves.
+const MAX_LEAF_WAITING: usize = 100_000;
+/// Calls that a leaf queue keeps at a server, over its slots.
+const LEAF_CALLS_PER_SLOT: usize = 2;
+/// Share of the connection limit that relays use, so that a replaced one finds room.
+const CONNECTION_SHARE: f64 = 0.75;
+
+/// What stands between a query and the connections.
+pub(crate) enum LeafKind {
+    Direct,
+    Queued(Vec<Rc<Door<Fixed>>>),
+}
+
+/// One relay of the service.
+pub(crate) struct Relay {
+    pub(crate) door: Rc<Door<AnyWindow>>,
+    pub(crate) leaf: LeafKind,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) service: Arc<record::Service>,
+    pub(crate) clock: Clock,
+    pub(crate) is_lost: watch::Sender<bool>,
+}
+
+impl Relay {
+    pub(crate) fn new(trial: &Trial, servers: &[Rc<Server>], clock: Clock) -> Self {
+        let service = &trial.service;
+        let config = Config::default().floor_share(trial.floor_share);
+        let controller = trial.controller;
+        let window = match trial.gate_kind {
+            GateKind::Query => controller.window(service.shard_slots(), trial.relays),
+            GateKind::Leaf => AnyWindow::Fixed(Fixed::new(NO_WINDOW)),
+        };
+        let leaf = match trial.gate_kind {
+            GateKind::Query => LeafKind::Direct,
+            GateKind::Leaf => LeafKind::Queued(leaf_doors(trial, clock)),
+        };
+        let connections = service.connection_limit as f64 * CONNECTION_SHARE;
+        let limit = (connections / trial.relays as f64) as usize;
+        let pool =
+            |server: &Rc<Server>| Pool::new(Rc::clone(server), limit, service.connect, clock);
+        Self {
+            door: Rc::new(Door::new(config, window, clock)),
+            leaf,
+            pools: servers.iter().map(pool).collect(),
+            service: Arc::new(service.record()),
+            clock,
+            is_lost: watch::Sender::new(false),
+        }
+    }
+}
+
+fn leaf_doors(trial: &Trial, clock: Clock) -> Vec<Rc<Door<Fixed>>> {
+    let service = &trial.service;
+    let window = (service.slots as usize * LEAF_CALLS_PER_SLOT).div_ceil(trial.relays);
+    let config = Config::default()
+        .floor_share(trial.floor_share)
+        .max_waiting(MAX_LEAF_WAITING);
+    (0..service.server_count())
+        .map(|_| Rc::new(Door::new(config, Fixed::new(window), clock)))
+        .collect()
+}
--- /dev/null
+++ b/crates/test/trial/src/trial.rs
@@ -0,0 +1,120 @@
+//! Settings of a trial.
+
+use {
+    crate::{
+        controller::{Controller, GateKind},
+        load::{by_rank, Load},
+        run, Report, Service,
+    },
+    record::ByRank,
+    std::time::Duration,
+};
+
+/// Hosts of each deployment today.
+const HOSTS: usize = 8;
+
+/// One trial; the same settings give the same report.
+#[derive(Clone, Debug)]
+pub struct Trial {
+    pub(crate) service: Service,
+    pub(crate) load: Load,
+    pub(crate) hosts: usize,
+    pub(crate) relays: usize,
+    pub(crate) controller: Controller,
+    pub(crate) gate_kind: GateKind,
+    pub(crate) floor_share: ByRank<f64>,
+    pub(crate) warm_up: Duration,
+    pub(crate) duration: Duration,
+    pub(crate) relay_loss: Option<RelayLoss>,
+    pub(crate) seed: u64,
+}
+
+/// Loss of a relay and its replacement, counted from the start of the arrivals.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RelayLoss {
+    pub(crate) lost_at: Duration,
+    pub(crate) replaced_at: Duration,
+}
+
+impl Trial {
+    /// Creates a trial with the defaults of the running system.
+    pub fn new(service: Service, load: Load) -> Self {
+        Self {
+            service,
+            load,
+            hosts: HOSTS,
+            relays: 2,
+            controller: Controller::Delay,
+            gate_kind: GateKind::Query,
+            floor_share: Self::tallapoosa_floors(),
+            warm_up: Duration::from_secs(1),
+            duration: Duration::from_secs(10),
+            relay_loss: None,
+            seed: 1,
+        }
+    }
+
+    /// Returns the floors by which Tallapoosa weighs urgent work most.
+    pub fn tallapoosa_floors() -> ByRank<f64> {
+        by_rank(0.5, 0.1, 0.05)
+    }
+
+    /// Returns the floors by which the Landesamt keeps background work.
+    pub fn landesamt_floors() -> ByRank<f64> {
+        by_rank(0.3, 0.2, 0.3)
+    }
+
+    /// Sets the number of relays, of the 8 hosts.
+    pub fn relays(mut self, relays: usize) -> Self {
+        self.relays = relays.clamp(1, self.hosts);
+        self
+    }
+
+    /// Sets the control of the window.
+    pub fn controller(mut self, controller: Controller) -> Self {
+        self.controller = controller;
+        self
+    }
+
+    /// Sets where queries wait.
+    pub fn gate_kind(mut self, gate_kind: GateKind) -> Self {
+        self.gate_kind = gate_kind;
+        self
+    }
+
+    /// Sets the floor of each rank.
+    pub fn floor_share(mut self, floor_share: ByRank<f64>) -> Self {
+        self.floor_share = floor_share;
+        self
+    }
+
+    /// Sets the time that is measured, after the warm-up.
+    pub fn duration(mut self, duration: Duration) -> Self {
+        self.duration = duration;
+        self
+    }
+
+    /// Loses one relay a quarter into the measured time and replaces it at half.
+    pub fn with_relay_loss(mut self) -> Self {
+        self.relay_loss = Some(RelayLoss {
+            lost_at: self.warm_up + self.duration / 4,
+            replaced_at: self.warm_up + self.duration / 2,
+        });
+        self
+    }
+
+    /// Sets the seed of every random number.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Runs the trial.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no runtime can be built.
+    pub fn run(&self) -> Report {
+        run::run(self)
+    }
+}
