Try rank order at each upstream behind the gate

The queue that urgent calls met was the server's own, in order of arrival; the limit moves it to the relay, where rank counts.

--- a/crates/test/trial/examples/trial.rs
+++ b/crates/test/trial/examples/trial.rs
@@ -28,11 +28,13 @@
     };
     let gate_kind = match text(&matches, "gate") {
         "leaf" => GateKind::Leaf,
+        "both" => GateKind::Both,
         _ => GateKind::Query,
     };
     let mut trial = Trial::new(service, load)
         .floor_share(floor_share)
         .gate_kind(gate_kind)
+        .leaf_calls_per_slot(number(&matches, "leaf-percent") as f64 / 100.0)
         .controller(controller(&matches))
         .relays(number(&matches, "relays") as usize)
         .duration(Duration::from_secs(number(&matches, "seconds")))
@@ -64,12 +66,16 @@
             .help("Offered load; a flood is ten times the capacity"),
         )
         .arg(choice("floors", &["tallapoosa", "landesamt"]).help("Floors of the ranks"))
-        .arg(choice("gate", &["query", "leaf"]).help("Where queries wait"))
+        .arg(choice("gate", &["query", "leaf", "both"]).help("Where queries wait"))
         .arg(
             choice("controller", &["delay", "aimd", "gradient", "fixed"])
                 .help("Control of the window"),
         )
         .arg(count("window", "32", 1..=10_000).help("Total of a fixed window"))
+        .arg(
+            count("leaf-percent", "200", 1..=10_000)
+                .help("Calls kept at a server over its slots, in percent"),
+        )
         .arg(count("relays", "2", 1..=8).help("Relays among the 8 hosts"))
         .arg(count("seconds", "10", 1..=600).help("Simulated seconds after the warm-up"))
         .arg(count("seed", "1", 0..=1_000_000).help("Seed of every random number"))
--- a/crates/test/trial/src/controller.rs
+++ b/crates/test/trial/src/controller.rs
@@ -12,6 +12,8 @@
     Query,
     /// At each upstream, as leaf calls that are dropped when they get late.
     Leaf,
+    /// At one gate for the whole query, and its leaf calls at each upstream by rank.
+    Both,
 }
 
 /// Control of the window.
--- a/crates/test/trial/src/query.rs
+++ b/crates/test/trial/src/query.rs
@@ -215,9 +215,9 @@
         let connection = pool.checkout().await;
         let result = pool.server.call(is_first).await;
         drop(connection);
-        if let Some(place) = place {
-            place.complete(&Shown::default());
-        }
+        // Dropped, not completed: the calls of an admitted query are never
+        // refused for an estimate, only when the deadline has passed.
+        drop(place);
         result.map_err(|_| Reason::Shed)
     }
 }
--- a/crates/test/trial/src/relay.rs
+++ b/crates/test/trial/src/relay.rs
@@ -18,8 +18,6 @@
 const NO_WINDOW: usize = 1_000_000;
 /// Leaf calls that wait, in trials with queues at the leaves.
 const MAX_LEAF_WAITING: usize = 100_000;
-/// Calls that a leaf queue keeps at a server, over its slots.
-const LEAF_CALLS_PER_SLOT: usize = 2;
 /// Share of the connection limit that relays use, so that a replaced one finds room.
 const CONNECTION_SHARE: f64 = 0.75;
 
@@ -45,12 +43,12 @@
         let config = Config::default().floor_share(trial.floor_share);
         let controller = trial.controller;
         let window = match trial.gate_kind {
-            GateKind::Query => controller.window(service.shard_slots(), trial.relays),
+            GateKind::Query | GateKind::Both => controller.window(service.shard_slots(), trial.relays),
             GateKind::Leaf => AnyWindow::Fixed(Fixed::new(NO_WINDOW)),
         };
         let leaf = match trial.gate_kind {
             GateKind::Query => LeafKind::Direct,
-            GateKind::Leaf => LeafKind::Queued(leaf_doors(trial, clock)),
+            GateKind::Leaf | GateKind::Both => LeafKind::Queued(leaf_doors(trial, clock)),
         };
         let connections = service.connection_limit as f64 * CONNECTION_SHARE;
         let limit = (connections / trial.relays as f64) as usize;
@@ -69,7 +67,8 @@
 
 fn leaf_doors(trial: &Trial, clock: Clock) -> Vec<Rc<Door<Fixed>>> {
     let service = &trial.service;
-    let window = (service.slots as usize * LEAF_CALLS_PER_SLOT).div_ceil(trial.relays);
+    let calls = f64::from(service.slots) * trial.leaf_calls_per_slot / trial.relays as f64;
+    let window = calls.ceil() as usize;
     let config = Config::default()
         .floor_share(trial.floor_share)
         .max_waiting(MAX_LEAF_WAITING);
--- a/crates/test/trial/src/trial.rs
+++ b/crates/test/trial/src/trial.rs
@@ -22,6 +22,7 @@
     pub(crate) relays: usize,
     pub(crate) controller: Controller,
     pub(crate) gate_kind: GateKind,
+    pub(crate) leaf_calls_per_slot: f64,
     pub(crate) floor_share: ByRank<f64>,
     pub(crate) warm_up: Duration,
     pub(crate) duration: Duration,
@@ -46,6 +47,7 @@
             relays: 2,
             controller: Controller::Delay,
             gate_kind: GateKind::Query,
+            leaf_calls_per_slot: 2.0,
             floor_share: Self::tallapoosa_floors(),
             warm_up: Duration::from_secs(1),
             duration: Duration::from_secs(10),
@@ -82,6 +84,12 @@
         self
     }
 
+    /// Sets the calls that all relays together keep at a server, over its slots.
+    pub fn leaf_calls_per_slot(mut self, leaf_calls_per_slot: f64) -> Self {
+        self.leaf_calls_per_slot = leaf_calls_per_slot;
+        self
+    }
+
     /// Sets the floor of each rank.
     pub fn floor_share(mut self, floor_share: ByRank<f64>) -> Self {
         self.floor_share = floor_share;
