Estimate the service time of queries by rank

Cause: behind rank order at the upstreams, lower ranks run longer than the mean over all ranks says, so they were admitted too late.

--- a/crates/process/host/src/relay/gate.rs
+++ b/crates/process/host/src/relay/gate.rs
@@ -48,6 +48,7 @@
 /// A query's place at a gate, given back when dropped.
 pub(crate) struct Place {
     gate: Arc<ServiceGate>,
+    rank: Rank,
     ticket: Ticket,
 }
 
@@ -158,8 +159,12 @@
         };
         let actions = state.gate.offer(offer, now);
         state.apply(&actions);
-        let gate = Arc::clone(self);
-        (Place { gate, ticket }, verdict)
+        let place = Place {
+            gate: Arc::clone(self),
+            rank: call.rank,
+            ticket,
+        };
+        (place, verdict)
     }
 }
 
@@ -190,7 +195,7 @@
 
     async fn wait(&self, mut verdict: oneshot::Receiver<Verdict>, deadline: Instant) -> Verdict {
         loop {
-            let service_time = self.gate.0.lock().gate.service_time();
+            let service_time = self.gate.0.lock().gate.service_time(self.rank);
             let latest_start = deadline.checked_sub(service_time).unwrap_or(deadline);
             let wake = latest_start.max(Instant::now() + MIN_WAIT);
             select! {
--- a/crates/request/admit/src/gate.rs
+++ b/crates/request/admit/src/gate.rs
@@ -21,6 +21,12 @@
     deadline: Instant,
 }
 
+#[derive(Debug)]
+struct Running {
+    rank: Rank,
+    began: Instant,
+}
+
 /// Admits the queries of one service into a bounded window.
 ///
 /// Each query is offered once and ends by one call of [`Gate::complete`] or
@@ -32,9 +38,10 @@
     max_waiting: usize,
     lines: ByRank<Line>,
     waiting: HashMap<Ticket, Waiting>,
-    deadlines: BTreeSet<(Instant, Ticket)>,
-    running: HashMap<Ticket, Instant>,
-    service_time: ServiceTime,
+    deadlines: ByRank<BTreeSet<(Instant, Ticket)>>,
+    running: HashMap<Ticket, Running>,
+    // Kept by rank: upstreams serve the calls of higher ranks first.
+    service_times: ByRank<ServiceTime>,
     drain_rates: ByRank<DrainRate>,
 }
 
@@ -47,9 +54,9 @@
             max_waiting: config.max_waiting,
             lines: ByRank::default(),
             waiting: HashMap::new(),
-            deadlines: BTreeSet::new(),
+            deadlines: ByRank::default(),
             running: HashMap::new(),
-            service_time: ServiceTime::default(),
+            service_times: ByRank::default(),
             drain_rates: ByRank::default(),
         }
     }
@@ -89,8 +96,9 @@
     pub fn complete(&mut self, ticket: Ticket, shown: &Shown, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         let in_flight = self.running.len();
-        if let Some(began) = self.running.remove(&ticket) {
-            self.service_time
+        if let Some(Running { rank, began }) = self.running.remove(&ticket) {
+            self.service_times
+                .get_mut(rank)
                 .on_sample(now.saturating_duration_since(began));
             self.window.on_complete(shown, in_flight, now);
         }
@@ -117,9 +125,10 @@
 
     /// Returns when the gate next needs [`Gate::wake`].
     pub fn next_wake(&self) -> Option<Instant> {
-        let (deadline, _) = self.deadlines.first()?;
-        let latest_start = deadline.checked_sub(self.service_time.upper());
-        Some(latest_start.unwrap_or(*deadline))
+        let starts = Rank::ALL
+            .into_iter()
+            .filter_map(|rank| self.latest_start(rank));
+        starts.min()
     }
 
     /// Returns the number of queries that may run at once.
@@ -137,9 +146,16 @@
         self.lines.get(rank).len()
     }
 
-    /// Returns the time that a query rarely exceeds once it is running.
-    pub fn service_time(&self) -> Duration {
-        self.service_time.upper()
+    /// Returns the time that a query of `rank` rarely exceeds once it is running.
+    pub fn service_time(&self, rank: Rank) -> Duration {
+        self.service_times.get(rank).upper()
+    }
+
+    /// Returns when the first of `rank` that waits has to start.
+    fn latest_start(&self, rank: Rank) -> Option<Instant> {
+        let (deadline, _) = self.deadlines.get(rank).first()?;
+        let latest_start = deadline.checked_sub(self.service_time(rank));
+        Some(latest_start.unwrap_or(*deadline))
     }
 
     fn wake_into(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -148,12 +164,13 @@
     }
 
     fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        while self.next_wake().is_some_and(|latest| latest <= now) {
-            let Some((_, ticket)) = self.deadlines.first().copied() else {
-                return;
-            };
-            if let Some(gone) = self.leave_line(ticket) {
-                actions.push(self.refuse(ticket, gone.rank, RefusalKind::TooLate, now));
+        for rank in Rank::ALL {
+            while self.latest_start(rank).is_some_and(|latest| latest <= now) {
+                let Some((_, ticket)) = self.deadlines.get(rank).first().copied() else {
+                    break;
+                };
+                self.leave_line(ticket);
+                actions.push(self.refuse(ticket, rank, RefusalKind::TooLate, now));
             }
         }
     }
@@ -166,12 +183,10 @@
             let Some(ticket) = self.lines.get_mut(rank).pop() else {
                 return;
             };
-            if let Some(waiting) = self.waiting.remove(&ticket) {
-                self.deadlines.remove(&(waiting.deadline, ticket));
-            }
+            self.forget(ticket);
             self.floors.on_admit(rank);
             self.drain_rates.get_mut(rank).on_admit(now);
-            self.running.insert(ticket, now);
+            self.running.insert(ticket, Running { rank, began: now });
             actions.push(Action::Admit(ticket));
         }
     }
@@ -182,9 +197,7 @@
         let Some(ticket) = line.displace_for(&offer.tenant) else {
             return false;
         };
-        if let Some(waiting) = self.waiting.remove(&ticket) {
-            self.deadlines.remove(&(waiting.deadline, ticket));
-        }
+        self.forget(ticket);
         actions.push(self.refuse(ticket, offer.rank, RefusalKind::Overloaded, now));
         true
     }
@@ -193,7 +206,9 @@
         self.lines
             .get_mut(offer.rank)
             .push(&offer.tenant, offer.ticket);
-        self.deadlines.insert((offer.deadline, offer.ticket));
+        self.deadlines
+            .get_mut(offer.rank)
+            .insert((offer.deadline, offer.ticket));
         let waiting = Waiting {
             rank: offer.rank,
             tenant: offer.tenant,
@@ -202,12 +217,19 @@
         self.waiting.insert(offer.ticket, waiting);
     }
 
-    fn leave_line(&mut self, ticket: Ticket) -> Option<Waiting> {
+    fn leave_line(&mut self, ticket: Ticket) {
+        if let Some(waiting) = self.forget(ticket) {
+            self.lines
+                .get_mut(waiting.rank)
+                .remove(&waiting.tenant, ticket);
+        }
+    }
+
+    fn forget(&mut self, ticket: Ticket) -> Option<Waiting> {
         let waiting = self.waiting.remove(&ticket)?;
-        self.deadlines.remove(&(waiting.deadline, ticket));
-        self.lines
+        self.deadlines
             .get_mut(waiting.rank)
-            .remove(&waiting.tenant, ticket);
+            .remove(&(waiting.deadline, ticket));
         Some(waiting)
     }
 
--- a/crates/test/trial/src/door.rs
+++ b/crates/test/trial/src/door.rs
@@ -62,7 +62,7 @@
             ticket: self.offer(passer, sender),
         };
         loop {
-            let service_time = self.0.borrow().gate.service_time();
+            let service_time = self.0.borrow().gate.service_time(passer.rank);
             let latest_start = passer.deadline.checked_sub(service_time);
             let wake = latest_start.unwrap_or(passer.deadline);
             let wake = wake.max(self.1.now() + MIN_WAIT);
