Size the window by slots and shards, and let it grow to more queueing

With rank order at the servers a queue costs urgent work little, so 2.5 times the baseline is allowed, and the first window follows the harmonic number of shards.

--- a/crates/request/admit/src/window/delay.rs
+++ b/crates/request/admit/src/window/delay.rs
@@ -9,7 +9,7 @@
 };
 
 /// Latency over the baseline up to which the window grows.
-const MAX_LATENCY_RATIO: f64 = 1.6;
+const MAX_LATENCY_RATIO: f64 = 2.5;
 /// Factor on the window when leaf calls queue or upstreams shed.
 const DECREASE: f64 = 0.9;
 
--- a/crates/request/admit/src/window/mod.rs
+++ b/crates/request/admit/src/window/mod.rs
@@ -30,25 +30,30 @@
     pub(crate) max: f64,
 }
 
-/// Queries that one slot of a shard keeps busy: the slowest shard of a query
-/// takes several times as long as the mean one, whose slot is free meanwhile.
-const QUERIES_PER_SLOT: f64 = 8.0;
-/// Largest window as a multiple of the first one.
-const MAX_GROWTH: f64 = 4.0;
-/// Smallest first window.
-const MIN_INITIAL: f64 = 2.0;
+/// Windows full of queries for each that would keep all slots busy without queueing.
+const WINDOWS_IN_QUEUE: f64 = 3.0;
+/// Smallest window over the first one.
+const MIN_SHARE: f64 = 0.25;
+/// Largest window over the first one.
+const MAX_SHARE: f64 = 2.0;
+/// Euler's constant, in the harmonic number of a count.
+const EULER: f64 = 0.577;
 
 impl Bounds {
-    /// Returns bounds for one of `relays` relays of a service, whose scarcest
-    /// shard has `slots` slots over all its servers.
-    pub fn for_slots(slots: u32, relays: usize) -> Self {
+    /// Returns bounds for one of `relays` relays of a service of `shards`
+    /// shards, the scarcest with `slots` slots over all its servers.
+    ///
+    /// A query ends with its slowest shard, and of `n` exponential times the
+    /// longest is the mean times the `n`th harmonic number. A slot is
+    /// therefore busy with a query for only that part of the query's time.
+    pub fn for_slots(slots: u32, shards: usize, relays: usize) -> Self {
         let share = f64::from(slots.max(1)) / relays.max(1) as f64;
-        let initial = (share * QUERIES_PER_SLOT).max(MIN_INITIAL);
+        let harmonic = (shards.max(1) as f64).ln() + EULER;
+        let initial = (share * harmonic.max(1.0) * WINDOWS_IN_QUEUE).max(1.0);
         Self {
             initial,
-            // Less would leave slots idle even if every query were short.
-            min: share.max(1.0),
-            max: initial * MAX_GROWTH,
+            min: (initial * MIN_SHARE).max(1.0),
+            max: initial * MAX_SHARE,
         }
     }
 
--- a/crates/test/trial/src/controller.rs
+++ b/crates/test/trial/src/controller.rs
@@ -1,6 +1,7 @@
 //! What a trial varies at the gate.
 
 use {
+    crate::Service,
     admit::{Aimd, Bounds, DelayAimd, Fixed, Gradient, Shown, Window},
     std::time::Instant,
 };
@@ -39,8 +40,8 @@
 }
 
 impl Controller {
-    pub(crate) fn window(self, slots: u32, relays: usize) -> AnyWindow {
-        let bounds = Bounds::for_slots(slots, relays);
+    pub(crate) fn window(self, service: &Service, relays: usize) -> AnyWindow {
+        let bounds = Bounds::for_slots(service.shard_slots(), service.shards as usize, relays);
         match self {
             Self::Fixed(total) => AnyWindow::Fixed(Fixed::new(total.div_ceil(relays))),
             Self::Aimd => AnyWindow::Aimd(Aimd::new(bounds)),
--- a/crates/test/trial/src/relay.rs
+++ b/crates/test/trial/src/relay.rs
@@ -43,9 +43,7 @@
         let config = Config::default().floor_share(trial.floor_share);
         let controller = trial.controller;
         let window = match trial.gate_kind {
-            GateKind::Query | GateKind::Both => {
-                controller.window(service.shard_slots(), trial.relays)
-            }
+            GateKind::Query | GateKind::Both => controller.window(service, trial.relays),
             GateKind::Leaf => AnyWindow::Fixed(Fixed::new(NO_WINDOW)),
         };
         let leaf = match trial.gate_kind {
