--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         relay::{
-            gate::{self, Tally},
+            gate::{self, Admitted, Tally},
             leaf,
         },
         shared::Shared,
@@ -56,6 +56,7 @@
     let place = gate::admit(shared, &service, &call, limits.deadline).await?;
     let run = Run {
         shared,
+        place: &place,
         tally: Tally::default(),
         service: &service.name,
         request_id,
@@ -68,7 +69,8 @@
         .with_hedge(route.hedge)
         .with_group(shared.groups.get(&service.name));
     let answer = run.drive(gather).await;
-    place.complete(run.tally);
+    let tally = run.tally;
+    place.complete(tally);
     Ok(QueryAnswer::new(
         call.request_id.clone(),
         in_force.revision(),
@@ -78,6 +80,7 @@
 
 struct Run<'a> {
     shared: &'a Shared,
+    place: &'a Admitted,
     tally: Tally,
     service: &'a str,
     request_id: RequestId,
@@ -110,7 +113,7 @@
                     Action::Call(call) => {
                         let (handle, registration) = AbortHandle::new_pair();
                         handles.insert(call.attempt_id, handle);
-                        calls.push(Abortable::new(self.make_call(call), registration));
+                        calls.push(Abortable::new(self.call_in_turn(call), registration));
                     }
                     Action::Cancel(attempt_id) => {
                         if let Some(handle) = handles.remove(&attempt_id) {
@@ -136,6 +139,19 @@
         }
     }
 
+    /// Makes a call once the server has room for it.
+    async fn call_in_turn(&self, mut call: LeafCall) -> Event<Rows> {
+        let asked = Instant::now();
+        let _turn = match self.place.turn(call.server).await {
+            Ok(turn) => turn,
+            Err(failure) => return Event::Failed(call.attempt_id, failure),
+        };
+        let wait = asked.elapsed();
+        self.tally.add_wait(wait);
+        call.time_left = call.time_left.saturating_sub(wait);
+        self.make_call(call).await
+    }
+
     async fn make_call(&self, call: LeafCall) -> Event<Rows> {
         let cause = call.cause.as_str();
         self.shared.metrics.on_leaf_call(self.service, cause);
--- a/crates/request/admit/tests/window.rs
+++ b/crates/request/admit/tests/window.rs
@@ -21,7 +21,7 @@
 
 #[test]
 fn the_window_follows_delay_and_sheds_within_its_bounds() {
-    let bounds = Bounds::for_slots(4, 2);
+    let bounds = Bounds::for_slots(4, 20, 2);
     let mut window = DelayAimd::new(bounds);
     let initial = window.limit();
     feed(&mut window, 200, &shown(8, 0));
@@ -42,7 +42,7 @@
 
 #[test]
 fn an_idle_window_does_not_grow() {
-    let mut window = DelayAimd::new(Bounds::for_slots(4, 1));
+    let mut window = DelayAimd::new(Bounds::for_slots(4, 20, 1));
     let initial = window.limit();
     for _ in 0..1_000 {
         window.on_complete(&shown(8, 0), 1, Instant::now());
@@ -54,8 +54,8 @@
 fn windows_that_share_slots_converge_to_a_fair_share() {
     // Both see the same delay: that of all queries over 20 that run without queueing.
     let mut windows = [
-        DelayAimd::new(Bounds::for_slots(8, 1)),
-        DelayAimd::new(Bounds::for_slots(1, 1)),
+        DelayAimd::new(Bounds::for_slots(8, 20, 1)),
+        DelayAimd::new(Bounds::for_slots(1, 20, 1)),
     ];
     assert!(windows[0].limit() >= 8 * windows[1].limit());
     // Both have seen the service at rest.
@@ -66,7 +66,7 @@
         }
     }
     for window in &mut windows {
-        window.set_bounds(Bounds::for_slots(4, 1));
+        window.set_bounds(Bounds::for_slots(4, 20, 1));
     }
     for _ in 0..20_000 {
         let running: usize = windows.iter().map(Window::limit).sum();
@@ -81,8 +81,8 @@
 
 #[test]
 fn new_bounds_scale_the_window() {
-    let mut window = DelayAimd::new(Bounds::for_slots(4, 1));
+    let mut window = DelayAimd::new(Bounds::for_slots(4, 20, 1));
     let whole = window.limit();
-    window.set_bounds(Bounds::for_slots(4, 4));
+    window.set_bounds(Bounds::for_slots(4, 20, 4));
     assert_eq!(window.limit(), whole / 4);
 }
--- a/crates/request/plan/src/gather.rs
+++ b/crates/request/plan/src/gather.rs
@@ -257,7 +257,8 @@
             self.on_failure(attempt_id, failure, step);
             return;
         }
-        let latency = attempt.elapsed(step.now);
+        let waited = step.upstreams.waited(attempt_id);
+        let latency = attempt.elapsed(step.now).saturating_sub(waited);
         self.group.on_reply(attempt.call.server, latency, step.now);
         let position = attempt.position;
         self.attempts.remove(&attempt_id);
@@ -273,7 +274,8 @@
     fn cancel_overtaken<U: Upstreams>(&mut self, attempt_id: AttemptId, step: &mut Step<'_, U, R>) {
         if let Some(loser) = self.attempts.remove(&attempt_id) {
             if !loser.is_hedge() {
-                let age = loser.elapsed(step.now);
+                let waited = step.upstreams.waited(attempt_id);
+                let age = loser.elapsed(step.now).saturating_sub(waited);
                 self.group.on_overtaken(loser.call.server, age, step.now);
             }
             step.actions.push(Action::Cancel(attempt_id));
--- a/crates/request/plan/src/upstreams.rs
+++ b/crates/request/plan/src/upstreams.rs
@@ -1,9 +1,9 @@
 //! What a query needs to know about upstreams.
 
 use {
-    crate::Reason,
+    crate::{AttemptId, Reason},
     record::{ServerAddr, Shard},
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
 /// The view on upstreams that a query asks for servers.
@@ -20,4 +20,12 @@
     fn may_hedge(&self, _shard: &Shard, _now: Instant) -> bool {
         true
     }
+
+    /// Returns how long a call waited in this process before it was sent.
+    ///
+    /// That time says nothing about the server. A call that still waits
+    /// returns [`Duration::MAX`].
+    fn waited(&self, _attempt_id: AttemptId) -> Duration {
+        Duration::ZERO
+    }
 }
--- a/crates/test/trial/examples/trial.rs
+++ b/crates/test/trial/examples/trial.rs
@@ -28,8 +28,8 @@
     };
     let gate_kind = match text(&matches, "gate") {
         "leaf" => GateKind::Leaf,
-        "both" => GateKind::Both,
-        _ => GateKind::Query,
+        "query" => GateKind::Query,
+        _ => GateKind::Both,
     };
     let mut trial = Trial::new(service, load)
         .floor_share(floor_share)
@@ -39,6 +39,9 @@
         .relays(number(&matches, "relays") as usize)
         .duration(Duration::from_secs(number(&matches, "seconds")))
         .seed(number(&matches, "seed"));
+    if matches.get_flag("no-hedges") {
+        trial = trial.without_hedges();
+    }
     if matches.get_flag("lose-relay") {
         trial = trial.with_relay_loss();
     }
@@ -66,7 +69,7 @@
             .help("Offered load; a flood is ten times the capacity"),
         )
         .arg(choice("floors", &["tallapoosa", "landesamt"]).help("Floors of the ranks"))
-        .arg(choice("gate", &["query", "leaf", "both"]).help("Where queries wait"))
+        .arg(choice("gate", &["both", "query", "leaf"]).help("Where queries wait"))
         .arg(
             choice("controller", &["delay", "aimd", "gradient", "fixed"])
                 .help("Control of the window"),
@@ -79,6 +82,12 @@
         .arg(count("relays", "2", 1..=8).help("Relays among the 8 hosts"))
         .arg(count("seconds", "10", 1..=600).help("Simulated seconds after the warm-up"))
         .arg(count("seed", "1", 0..=1_000_000).help("Seed of every random number"))
+        .arg(
+            Arg::new("no-hedges")
+                .long("no-hedges")
+                .action(clap::ArgAction::SetTrue)
+                .help("Make no second calls to slow shards"),
+        )
         .arg(
             Arg::new("lose-relay")
                 .long("lose-relay")
--- a/crates/test/trial/src/query.rs
+++ b/crates/test/trial/src/query.rs
@@ -13,14 +13,15 @@
     },
     kind::Ran,
     plan::{
-        Action, Answer, AttemptId, Event, Gather, LeafCall, LeafFailure, LeafReply, Limits, Pin,
-        Reason, RequestId, Upstreams,
+        Action, Answer, AttemptId, Cause, Event, Gather, LeafCall, LeafFailure, LeafReply, Limits,
+        Pin, Reason, RequestId, Upstreams,
     },
     record::{ServerAddr, Shard},
     std::{
         cell::RefCell,
         collections::HashMap,
         future::Future,
+        sync::Arc,
         time::{Duration, Instant},
     },
     tokio::select,
@@ -49,6 +50,8 @@
 #[derive(Default)]
 struct LeafCounts {
     latencies: Vec<Duration>,
+    // How long each call waited for its turn; none while it waits.
+    waits: HashMap<AttemptId, Option<Duration>>,
     sheds: u32,
 }
 
@@ -56,6 +59,7 @@
 struct LeastBusy<'a> {
     relay: &'a Relay,
     request_id: RequestId,
+    counts: &'a RefCell<LeafCounts>,
 }
 
 impl Upstreams for LeastBusy<'_> {
@@ -67,6 +71,12 @@
             .map(|server| server.addr)
             .min_by_key(|addr| (tried.contains(addr), busy(*addr)))
     }
+
+    fn waited(&self, attempt_id: AttemptId) -> Duration {
+        let counts = self.counts.borrow();
+        let wait = counts.waits.get(&attempt_id).copied().flatten();
+        wait.unwrap_or(Duration::MAX)
+    }
 }
 
 impl Relay {
@@ -102,10 +112,13 @@
             is_repeatable: true,
         };
         let pin = Pin::newest(&self.service).expect("the service has an index");
-        let mut gather = Gather::new(query.request_id, pin, limits);
+        let mut gather = Gather::new(query.request_id, pin, limits)
+            .with_hedge(self.hedge)
+            .with_group(Arc::clone(&self.group));
         let mut pick = LeastBusy {
             relay: self,
             request_id: query.request_id,
+            counts,
         };
         let mut calls = FuturesUnordered::new();
         let mut handles: HashMap<AttemptId, AbortHandle> = HashMap::new();
@@ -161,10 +174,17 @@
         counts: &RefCell<LeafCounts>,
     ) -> Event<()> {
         let began = self.clock.now();
-        // A query numbers its calls from 1, the first of each shard before all others.
-        let is_first = call.attempt_id <= u64::from(self.shards());
+        let is_first = call.cause == Cause::First;
+        counts.borrow_mut().waits.insert(call.attempt_id, None);
+        let on_turn = || {
+            let wait = self.clock.now().saturating_duration_since(began);
+            counts
+                .borrow_mut()
+                .waits
+                .insert(call.attempt_id, Some(wait));
+        };
         let result = self
-            .call_server(position_of(call.server), is_first, &query.passer)
+            .call_server(position_of(call.server), is_first, &query.passer, on_turn)
             .await;
         let mut counts = counts.borrow_mut();
         match result {
@@ -193,15 +213,12 @@
         }
     }
 
-    fn shards(&self) -> u32 {
-        self.service.indexes[0].shards.len() as u32
-    }
-
     async fn call_server(
         &self,
         position: usize,
         is_first: bool,
         passer: &Passer,
+        on_turn: impl FnOnce(),
     ) -> Result<(), Reason> {
         let pool = &self.pools[position];
         let _busy = pool.enter();
@@ -212,6 +229,7 @@
                 Some(passed.map_err(|_| Reason::Deadline)?)
             }
         };
+        on_turn();
         let connection = pool.checkout().await;
         let result = pool.server.call(is_first).await;
         drop(connection);
--- a/crates/test/trial/src/relay.rs
+++ b/crates/test/trial/src/relay.rs
@@ -10,6 +10,8 @@
         trial::Trial,
     },
     admit::{Config, Fixed},
+    plan::Group,
+    record::Hedge,
     std::{rc::Rc, sync::Arc},
     tokio::sync::watch,
 };
@@ -33,6 +35,8 @@
     pub(crate) leaf: LeafKind,
     pub(crate) pools: Vec<Pool>,
     pub(crate) service: Arc<record::Service>,
+    pub(crate) hedge: Hedge,
+    pub(crate) group: Arc<Group>,
     pub(crate) clock: Clock,
     pub(crate) is_lost: watch::Sender<bool>,
 }
@@ -59,6 +63,8 @@
             leaf,
             pools: servers.iter().map(pool).collect(),
             service: Arc::new(service.record()),
+            hedge: trial.hedge,
+            group: Arc::default(),
             clock,
             is_lost: watch::Sender::new(false),
         }
--- a/crates/test/trial/src/trial.rs
+++ b/crates/test/trial/src/trial.rs
@@ -6,7 +6,7 @@
         load::{by_rank, Load},
         run, Report, Service,
     },
-    record::ByRank,
+    record::{ByRank, Hedge},
     std::time::Duration,
 };
 
@@ -24,6 +24,7 @@
     pub(crate) gate_kind: GateKind,
     pub(crate) leaf_calls_per_slot: f64,
     pub(crate) floor_share: ByRank<f64>,
+    pub(crate) hedge: Hedge,
     pub(crate) warm_up: Duration,
     pub(crate) duration: Duration,
     pub(crate) relay_loss: Option<RelayLoss>,
@@ -46,9 +47,13 @@
             hosts: HOSTS,
             relays: 2,
             controller: Controller::Delay,
-            gate_kind: GateKind::Query,
+            gate_kind: GateKind::Both,
             leaf_calls_per_slot: 2.0,
             floor_share: Self::tallapoosa_floors(),
+            hedge: Hedge {
+                quantile: 0.95,
+                budget_share: 0.05,
+            },
             warm_up: Duration::from_secs(1),
             duration: Duration::from_secs(10),
             relay_loss: None,
@@ -96,6 +101,12 @@
         self
     }
 
+    /// Turns hedging off.
+    pub fn without_hedges(mut self) -> Self {
+        self.hedge.quantile = 0.0;
+        self
+    }
+
     /// Sets the time that is measured, after the warm-up.
     pub fn duration(mut self, duration: Duration) -> Self {
         self.duration = duration;
