Drop the windows that lost the comparison

Kept: AIMD on queueing delay, and the fixed window for comparison.

The test of the least window named the bound of the first sizing (the slots of the relay); it now names the present bound exactly, a quarter of the first window.

--- a/crates/request/admit/src/lib.rs
+++ b/crates/request/admit/src/lib.rs
@@ -45,5 +45,5 @@
     config::Config,
     gate::Gate,
     offer::{Action, Offer, Refusal, RefusalKind, Shown, Ticket},
-    window::{Aimd, Bounds, DelayAimd, Fixed, Gradient, Window},
+    window::{Bounds, DelayAimd, Fixed, Window},
 };
--- a/crates/request/admit/src/window/mod.rs
+++ b/crates/request/admit/src/window/mod.rs
@@ -1,12 +1,10 @@
 //! The size of the window: how many queries run at once.
 
-mod aimd;
 mod baseline;
 mod delay;
 mod fixed;
-mod gradient;
 
-pub use self::{aimd::Aimd, delay::DelayAimd, fixed::Fixed, gradient::Gradient};
+pub use self::{delay::DelayAimd, fixed::Fixed};
 
 use {crate::Shown, std::time::Instant};
 
--- a/crates/request/admit/tests/window.rs
+++ b/crates/request/admit/tests/window.rs
@@ -35,7 +35,7 @@
     feed(&mut window, 200, &shown(8, 1));
     assert!(window.limit() < before, "no decrease on sheds");
     feed(&mut window, 10_000, &shown(40, 1));
-    assert_eq!(window.limit(), 2, "the slots of this relay stay in use");
+    assert_eq!(window.limit(), initial / 4, "the least window");
     feed(&mut window, 100_000, &shown(1, 0));
     assert!(window.limit() <= 4 * initial);
 }
--- a/crates/test/trial/examples/trial.rs
+++ b/crates/test/trial/examples/trial.rs
@@ -50,8 +50,6 @@
 
 fn controller(matches: &ArgMatches) -> Controller {
     match text(matches, "controller") {
-        "aimd" => Controller::Aimd,
-        "gradient" => Controller::Gradient,
         "fixed" => Controller::Fixed(number(matches, "window") as usize),
         _ => Controller::Delay,
     }
@@ -70,10 +68,7 @@
         )
         .arg(choice("floors", &["tallapoosa", "landesamt"]).help("Floors of the ranks"))
         .arg(choice("gate", &["both", "query", "leaf"]).help("Where queries wait"))
-        .arg(
-            choice("controller", &["delay", "aimd", "gradient", "fixed"])
-                .help("Control of the window"),
-        )
+        .arg(choice("controller", &["delay", "fixed"]).help("Control of the window"))
         .arg(count("window", "32", 1..=10_000).help("Total of a fixed window"))
         .arg(
             count("leaf-percent", "200", 1..=10_000)
--- a/crates/test/trial/src/controller.rs
+++ b/crates/test/trial/src/controller.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::Service,
-    admit::{Aimd, Bounds, DelayAimd, Fixed, Gradient, Shown, Window},
+    admit::{Bounds, DelayAimd, Fixed, Shown, Window},
     std::time::Instant,
 };
 
@@ -22,21 +22,15 @@
 pub enum Controller {
     /// A constant total over all relays.
     Fixed(usize),
-    /// Additive increase, multiplicative decrease on sheds.
-    Aimd,
     /// Additive increase, multiplicative decrease on queueing delay.
     Delay,
-    /// Gradient of the latency.
-    Gradient,
 }
 
 /// A window of any of the kinds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum AnyWindow {
     Fixed(Fixed),
-    Aimd(Aimd),
     Delay(DelayAimd),
-    Gradient(Gradient),
 }
 
 impl Controller {
@@ -44,9 +38,7 @@
         let bounds = Bounds::for_slots(service.shard_slots(), service.shards as usize, relays);
         match self {
             Self::Fixed(total) => AnyWindow::Fixed(Fixed::new(total.div_ceil(relays))),
-            Self::Aimd => AnyWindow::Aimd(Aimd::new(bounds)),
             Self::Delay => AnyWindow::Delay(DelayAimd::new(bounds)),
-            Self::Gradient => AnyWindow::Gradient(Gradient::new(bounds)),
         }
     }
 }
@@ -55,9 +47,7 @@
     ($any:expr, $window:ident => $call:expr) => {
         match $any {
             AnyWindow::Fixed($window) => $call,
-            AnyWindow::Aimd($window) => $call,
             AnyWindow::Delay($window) => $call,
-            AnyWindow::Gradient($window) => $call,
         }
     };
 }
