--- a/crates/process/host/src/relay/gate/mod.rs
+++ b/crates/process/host/src/relay/gate/mod.rs
@@ -9,7 +9,7 @@
 mod door;
 mod tally;
 
-pub(crate) use self::tally::Tally;
+pub(crate) use self::tally::{InTurn, Tally};
 
 use {
     self::door::{Door, Passer, Place},
--- a/crates/process/host/src/relay/gate/tally.rs
+++ b/crates/process/host/src/relay/gate/tally.rs
@@ -1,6 +1,15 @@
 //! What the leaf calls of one query showed.
 
-use {admit::Shown, parking_lot::Mutex, plan::Reason, std::time::Duration};
+use {
+    admit::Shown,
+    parking_lot::Mutex,
+    plan::{AttemptId, Reason, Upstreams},
+    record::{ServerAddr, Shard},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+};
 
 /// Counts of one query.
 #[derive(Default)]
@@ -9,7 +18,8 @@
 #[derive(Default)]
 struct Counts {
     latencies: Vec<Duration>,
-    waits: Vec<Duration>,
+    // How long each call waited for its turn; none while it waits.
+    waits: HashMap<AttemptId, Option<Duration>>,
     sheds: u32,
 }
 
@@ -24,17 +34,53 @@
         }
     }
 
-    /// Counts the wait of a leaf call for its turn at the server.
-    pub(crate) fn add_wait(&self, wait: Duration) {
-        self.0.lock().waits.push(wait);
+    /// Takes the wait of a leaf call for its turn at the server; none while it waits.
+    pub(crate) fn set_wait(&self, attempt_id: AttemptId, wait: Option<Duration>) {
+        self.0.lock().waits.insert(attempt_id, wait);
+    }
+
+    fn waited(&self, attempt_id: AttemptId) -> Duration {
+        let wait = self.0.lock().waits.get(&attempt_id).copied().flatten();
+        wait.unwrap_or(Duration::MAX)
     }
 
     /// Returns what the gate is shown: the wait for a turn is queueing too.
     pub(crate) fn into_shown(self) -> Shown {
         let counts = self.0.into_inner();
-        let wait = Shown::new(counts.waits, 0).leaf_latency.unwrap_or_default();
+        let waits = counts.waits.into_values().flatten().collect();
+        let wait = Shown::new(waits, 0).leaf_latency.unwrap_or_default();
         let mut shown = Shown::new(counts.latencies, counts.sheds);
         shown.leaf_latency = shown.leaf_latency.map(|latency| latency + wait);
         shown
     }
 }
+
+/// Upstreams of a query whose calls wait for turns.
+pub(crate) struct InTurn<'a, U> {
+    upstreams: U,
+    tally: &'a Tally,
+}
+
+impl<'a, U> InTurn<'a, U> {
+    pub(crate) fn new(upstreams: U, tally: &'a Tally) -> Self {
+        Self { upstreams, tally }
+    }
+}
+
+impl<U: Upstreams> Upstreams for InTurn<'_, U> {
+    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], now: Instant) -> Option<ServerAddr> {
+        self.upstreams.pick(shard, tried, now)
+    }
+
+    fn reason(&self, shard: &Shard, now: Instant) -> Reason {
+        self.upstreams.reason(shard, now)
+    }
+
+    fn may_hedge(&self, shard: &Shard, now: Instant) -> bool {
+        self.upstreams.may_hedge(shard, now)
+    }
+
+    fn waited(&self, attempt_id: AttemptId) -> Duration {
+        self.tally.waited(attempt_id)
+    }
+}
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         relay::{
-            gate::{self, Admitted, Tally},
+            gate::{self, Admitted, InTurn, Tally},
             leaf,
         },
         shared::Shared,
@@ -106,7 +106,8 @@
     async fn drive(&self, mut gather: Gather<Rows>) -> Answer<Rows> {
         let mut calls = FuturesUnordered::new();
         let mut handles: HashMap<AttemptId, AbortHandle> = HashMap::new();
-        let mut actions = gather.start(&mut InOrder, Instant::now());
+        let mut upstreams = InTurn::new(InOrder, &self.tally);
+        let mut actions = gather.start(&mut upstreams, Instant::now());
         loop {
             for action in actions {
                 match action {
@@ -125,7 +126,7 @@
             }
             let event = next_event(&mut calls, gather.next_wake()).await;
             self.offer_newest_record(&event, &mut gather);
-            actions = gather.on_event(event, &mut InOrder, Instant::now());
+            actions = gather.on_event(event, &mut upstreams, Instant::now());
         }
     }
 
@@ -142,12 +143,13 @@
     /// Makes a call once the server has room for it.
     async fn call_in_turn(&self, mut call: LeafCall) -> Event<Rows> {
         let asked = Instant::now();
+        self.tally.set_wait(call.attempt_id, None);
         let _turn = match self.place.turn(call.server).await {
             Ok(turn) => turn,
             Err(failure) => return Event::Failed(call.attempt_id, failure),
         };
         let wait = asked.elapsed();
-        self.tally.add_wait(wait);
+        self.tally.set_wait(call.attempt_id, Some(wait));
         call.time_left = call.time_left.saturating_sub(wait);
         self.make_call(call).await
     }
