--- a/crates/process/host/src/relay/gate/mod.rs
+++ b/crates/process/host/src/relay/gate/mod.rs
@@ -7,9 +7,10 @@
 //! going away included.
 
 mod door;
+mod in_turn;
 mod tally;
 
-pub(crate) use self::tally::{InTurn, Tally};
+pub(crate) use self::{in_turn::InTurn, tally::Tally};
 
 use {
     self::door::{Door, Passer, Place},
@@ -118,6 +119,14 @@
             newest_version: None,
         })
     }
+
+    /// Returns the number of calls that wait for a turn at `server`.
+    fn waiting(&self, server: ServerAddr) -> usize {
+        self.gate.server(server).with_gate(|gate| {
+            let lines = Rank::ALL.into_iter().map(|rank| gate.waiting(rank));
+            lines.sum()
+        })
+    }
 }
 
 impl Gates {
--- a/crates/process/host/src/relay/gate/tally.rs
+++ b/crates/process/host/src/relay/gate/tally.rs
@@ -3,12 +3,8 @@
 use {
     admit::Shown,
     parking_lot::Mutex,
-    plan::{AttemptId, Reason, Upstreams},
-    record::{ServerAddr, Shard},
-    std::{
-        collections::HashMap,
-        time::{Duration, Instant},
-    },
+    plan::{AttemptId, Reason},
+    std::{collections::HashMap, time::Duration},
 };
 
 /// Counts of one query.
@@ -39,7 +35,8 @@
         self.0.lock().waits.insert(attempt_id, wait);
     }
 
-    fn waited(&self, attempt_id: AttemptId) -> Duration {
+    /// Returns how long a call waited for its turn; one that waits says the longest.
+    pub(crate) fn waited(&self, attempt_id: AttemptId) -> Duration {
         let wait = self.0.lock().waits.get(&attempt_id).copied().flatten();
         wait.unwrap_or(Duration::MAX)
     }
@@ -54,33 +51,3 @@
         shown
     }
 }
-
-/// Upstreams of a query whose calls wait for turns.
-pub(crate) struct InTurn<'a, U> {
-    upstreams: U,
-    tally: &'a Tally,
-}
-
-impl<'a, U> InTurn<'a, U> {
-    pub(crate) fn new(upstreams: U, tally: &'a Tally) -> Self {
-        Self { upstreams, tally }
-    }
-}
-
-impl<U: Upstreams> Upstreams for InTurn<'_, U> {
-    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], now: Instant) -> Option<ServerAddr> {
-        self.upstreams.pick(shard, tried, now)
-    }
-
-    fn reason(&self, shard: &Shard, now: Instant) -> Reason {
-        self.upstreams.reason(shard, now)
-    }
-
-    fn may_hedge(&self, shard: &Shard, now: Instant) -> bool {
-        self.upstreams.may_hedge(shard, now)
-    }
-
-    fn waited(&self, attempt_id: AttemptId) -> Duration {
-        self.tally.waited(attempt_id)
-    }
-}
--- a/crates/process/host/tests/leaf_faults.rs
+++ b/crates/process/host/tests/leaf_faults.rs
@@ -85,7 +85,11 @@
     /// Serves one call; `None` closes the connection.
     async fn serve_call(&self, stream: &mut TcpStream) -> Option<()> {
         let mut first = [0; CUT_BYTES];
-        stream.readable().await.ok()?;
+        let mut method = [0; 1];
+        // A fresh connection is probed before it carries a call, and a probe is no call.
+        while stream.peek(&mut method).await.ok()? > 0 && method == *b"G" {
+            answer_probe(stream).await?;
+        }
         let point = self.points.lock().pop_front().unwrap_or(Point::Nowhere);
         if point == Point::BeforeRead {
             return None;
@@ -112,6 +116,15 @@
     }
 }
 
+async fn answer_probe(stream: &mut TcpStream) -> Option<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let reply = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(reply.as_bytes()).await.ok()
+}
+
 async fn read_call(stream: &mut TcpStream, first: &[u8]) -> Option<Value> {
     let mut bytes = first.to_vec();
     let mut buffer = [0; 1_024];
--- a/crates/request/admit/src/floor.rs
+++ b/crates/request/admit/src/floor.rs
@@ -41,6 +41,11 @@
             .or_else(|| Rank::ALL.into_iter().find(|rank| is_waiting(*rank)))
     }
 
+    /// Returns whether a rank has earned an admission.
+    pub(crate) fn is_due(&self, rank: Rank) -> bool {
+        *self.credit.get(rank) >= 1.0
+    }
+
     pub(crate) fn on_admit(&mut self, admitted: Rank) {
         for rank in Rank::ALL {
             let share = *self.share.get(rank);
--- a/crates/request/admit/src/gate.rs
+++ b/crates/request/admit/src/gate.rs
@@ -36,6 +36,7 @@
     window: W,
     floors: Floors,
     max_waiting: usize,
+    reserve_share: f64,
     lines: ByRank<Line>,
     waiting: HashMap<Ticket, Waiting>,
     deadlines: ByRank<BTreeSet<(Instant, Ticket)>>,
@@ -52,6 +53,7 @@
             window,
             floors: Floors::new(config.floor_share),
             max_waiting: config.max_waiting,
+            reserve_share: config.reserve_share,
             lines: ByRank::default(),
             waiting: HashMap::new(),
             deadlines: ByRank::default(),
@@ -176,10 +178,10 @@
     }
 
     fn fill(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        while self.running.len() < self.window.limit() {
-            let Some(rank) = self.floors.next(|rank| self.lines.get(rank).len() > 0) else {
+        while let Some(rank) = self.floors.next(|rank| self.lines.get(rank).len() > 0) {
+            if self.running.len() >= self.limit_for(rank) {
                 return;
-            };
+            }
             let Some(ticket) = self.lines.get_mut(rank).pop() else {
                 return;
             };
@@ -191,6 +193,15 @@
         }
     }
 
+    /// Returns how many queries may run for one of `rank` to be admitted.
+    fn limit_for(&self, rank: Rank) -> usize {
+        let limit = self.window.limit();
+        if rank == Rank::Urgent || self.floors.is_due(rank) {
+            return limit + (limit as f64 * self.reserve_share) as usize;
+        }
+        limit
+    }
+
     /// Makes room by refusing a query of the tenant with the most waiting.
     fn displace(&mut self, offer: &Offer, now: Instant, actions: &mut Vec<Action>) -> bool {
         let line = self.lines.get_mut(offer.rank);
--- a/crates/test/fakes/src/process.rs
+++ b/crates/test/fakes/src/process.rs
@@ -6,14 +6,15 @@
 use {
     crate::{
         client::{Answer, TestClient},
-        platform::Faults,
+        platform::{Calls, Faults},
         upstream::{Behaviour, Seen},
     },
     anyhow::{bail, ensure, Context, Result},
     http::Method,
+    nix::unistd::{sysconf, SysconfVar},
     serde_json::json,
     std::{
-        env,
+        env, fs,
         net::{Ipv4Addr, SocketAddr, TcpListener},
         path::PathBuf,
         process::{Child, Command, Stdio},
@@ -30,6 +31,8 @@
 /// Ports of the fixture lie below those that the system gives out by itself.
 const FIRST_PORT: u32 = 12_000;
 const PORT_COUNT: u32 = 20_000;
+/// Place of the user time behind the name in `/proc/<pid>/stat`; the system time follows.
+const PROCESSOR_TIME_FIELD: usize = 11;
 /// Pause between two looks at something awaited.
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 /// Number of looks before something awaited counts as missing.
@@ -74,6 +77,41 @@
             .is_some_and(|status| status.success()))
     }
 
+    /// Returns the processor time that the process has used.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn processor_time(&self) -> Result<Duration> {
+        let text = fs::read_to_string(format!("/proc/{}/stat", self.pid()))?;
+        // The name in parentheses may hold spaces, so counting starts behind it.
+        let (_, fields) = text.rsplit_once(')').context("malformed status")?;
+        let ticks: u64 = fields
+            .split_whitespace()
+            .skip(PROCESSOR_TIME_FIELD)
+            .take(2)
+            .filter_map(|field| field.parse::<u64>().ok())
+            .sum();
+        let ticks_per_s = sysconf(SysconfVar::CLK_TCK)?.context("no clock tick")?;
+        Ok(Duration::from_secs_f64(ticks as f64 / ticks_per_s as f64))
+    }
+
+    /// Returns the resident memory of the process, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn resident_bytes(&self) -> Result<u64> {
+        let text = fs::read_to_string(format!("/proc/{}/statm", self.pid()))?;
+        let pages: u64 = text
+            .split_whitespace()
+            .nth(1)
+            .context("malformed memory status")?
+            .parse()?;
+        let page_bytes = sysconf(SysconfVar::PAGE_SIZE)?.context("no page size")?;
+        Ok(pages * page_bytes.unsigned_abs())
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         // Killing a process that has ended fails, and nothing is owed then.
@@ -286,6 +324,23 @@
     ///
     /// Returns an error if the platform does not answer.
     pub async fn publish_hosts(&self) -> Result<()> {
+        self.publish_leaving(&[]).await
+    }
+
+    /// Publishes the present hosts and upstreams that are leaving.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer.
+    pub async fn publish_leaving(&self, upstreams: &[SocketAddr]) -> Result<()> {
+        let leaving = upstreams.iter().map(|addr| ListedHost {
+            role: Role::Upstream,
+            id: format!("upstream-{}", addr.port()),
+            addr: *addr,
+            region: "region-0".to_owned(),
+            zone: "zone-0".to_owned(),
+            leaving: true,
+        });
         let hosts: Vec<_> = self
             .hosts
             .iter()
@@ -297,6 +352,7 @@
                 zone: host.zone.clone(),
                 leaving: false,
             })
+            .chain(leaving)
             .collect();
         let body = serde_json::to_string(&hosts)?;
         self.control(self.platform_addr, "/fake/hosts", body).await
@@ -312,6 +368,111 @@
         self.control(self.platform_addr, "/fake/faults", body).await
     }
 
+    /// Returns the revision in force on a host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host does not state one.
+    pub async fn revision(&self, host: usize) -> Result<u64> {
+        let fleet = self.admin(host, Method::GET, "/v1/admin/fleet", &[], "");
+        fleet.await?.json()["revision"].as_u64().context("revision")
+    }
+
+    /// Waits until a revision is in force on every host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is not within half a minute.
+    pub async fn wait_for_revision(&self, revision: u64) -> Result<()> {
+        for host in 0..self.hosts.len() {
+            let mut polls = 0;
+            while self.revision(host).await? < revision {
+                polls += 1;
+                ensure!(polls < MAX_POLLS, "revision {revision} is not in force");
+                sleep(POLL_PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until every host knows every other one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if they do not within half a minute.
+    pub async fn wait_for_members(&self) -> Result<()> {
+        for host in 0..self.hosts.len() {
+            for polls in 0..=MAX_POLLS {
+                ensure!(polls < MAX_POLLS, "host {host} does not know the others");
+                let fleet = self.admin(host, Method::GET, "/v1/admin/fleet", &[], "");
+                let known = fleet.await?.json()["members"]
+                    .as_array()
+                    .map_or(0, Vec::len);
+                if known >= self.hosts.len() {
+                    break;
+                }
+                sleep(POLL_PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Makes the platform keep its state.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer.
+    pub async fn back_up_platform(&self) -> Result<()> {
+        let body = String::new();
+        self.control(self.platform_addr, "/fake/backup", body).await
+    }
+
+    /// Makes the platform go back to the state that it has kept.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer.
+    pub async fn restore_platform(&self) -> Result<()> {
+        let body = String::new();
+        self.control(self.platform_addr, "/fake/restore", body)
+            .await
+    }
+
+    /// Returns the calls that the platform has seen.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer.
+    pub async fn platform_calls(&self) -> Result<Calls> {
+        let answer = self
+            .client
+            .send(Method::GET, self.platform_addr, "/fake/calls", &[], "")
+            .await?;
+        Ok(serde_json::from_str(&answer.text)?)
+    }
+
+    /// Calls the administration API of one host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host does not answer.
+    pub async fn admin(
+        &self,
+        host: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Answer> {
+        let token = format!("Bearer {ADMIN_TOKEN}");
+        let mut all = vec![("authorization", token.as_str())];
+        all.extend_from_slice(headers);
+        let addr = self.hosts[host].admin_addr;
+        self.client
+            .send(method, addr, path, &all, body.to_owned())
+            .await
+    }
+
     /// Sets the behaviour of every server.
     ///
     /// # Errors
@@ -334,6 +495,16 @@
         self.control(self.control_addr, &path, body).await
     }
 
+    /// Silences the connections that the upstreams hold now; later ones work.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the upstreams do not answer.
+    pub async fn silence_open_connections(&self) -> Result<()> {
+        self.control(self.control_addr, "/fake/silence", String::new())
+            .await
+    }
+
     /// Returns what the upstreams have seen.
     ///
     /// # Errors
