--- a/crates/test/trial/src/query.rs
+++ b/crates/test/trial/src/query.rs
@@ -9,6 +9,7 @@
     admit::{RefusalKind, Shown},
     futures::{
         future::{AbortHandle, Abortable},
+        poll,
         stream::{FuturesUnordered, StreamExt},
     },
     kind::Ran,
@@ -21,7 +22,9 @@
         cell::RefCell,
         collections::HashMap,
         future::Future,
+        pin::pin,
         sync::Arc,
+        task::Poll,
         time::{Duration, Instant},
     },
     tokio::select,
@@ -91,7 +94,16 @@
     }
 
     async fn admit_and_run(&self, query: &Query) -> Outcome {
-        let place = match self.door.pass(&query.passer).await {
+        let mut admission = pin!(self.door.pass(&query.passer));
+        let passed = match poll!(admission.as_mut()) {
+            Poll::Ready(passed) => passed,
+            Poll::Pending => {
+                // A query that has to wait is a sign of load.
+                self.group.on_wait(self.clock.now());
+                admission.await
+            }
+        };
+        let place = match passed {
             Ok(place) => place,
             Err(refusal) => return Outcome::Refused(refusal.kind),
         };
