--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -4,7 +4,7 @@
     crate::{
         relay::{
             canary,
-            gate::{self, Place, Tally},
+            gate::{self, Admitted, InTurn, Tally},
             leaf::{self, Target},
             upkeep,
             upstreams::Picker,
@@ -66,6 +66,7 @@
     let place = admit(shared, &service, &call, &limits, &group).await?;
     let run = Run {
         shared,
+        place: &place,
         tally: Tally::default(),
         service: &service.name,
         route: &route.name,
@@ -81,7 +82,8 @@
         .with_hedge(route.hedge)
         .with_group(group);
     let answer = run.drive(gather).await;
-    place.complete(run.tally);
+    let tally = run.tally;
+    place.complete(tally);
     Ok(QueryAnswer::new(
         call.request_id.clone(),
         in_force.revision(),
@@ -96,7 +98,7 @@
     call: &QueryCall,
     limits: &Limits,
     group: &Group,
-) -> Result<Place> {
+) -> Result<Admitted> {
     let mut admission = pin!(gate::admit(shared, service, call, limits.deadline));
     match poll!(admission.as_mut()) {
         Poll::Ready(place) => place,
@@ -109,6 +111,7 @@
 
 struct Run<'a> {
     shared: &'a Shared,
+    place: &'a Admitted,
     tally: Tally,
     service: &'a str,
     route: &'a str,
@@ -124,7 +127,8 @@
     async fn drive(&self, mut gather: Gather<Rows>) -> Answer<Rows> {
         let mut calls = FuturesUnordered::new();
         let mut handles: HashMap<AttemptId, AbortHandle> = HashMap::new();
-        let mut upstreams = Picker(&self.shared.servers);
+        let picker = Picker(&self.shared.servers);
+        let mut upstreams = InTurn::new(picker, self.place, &self.tally);
         let mut actions = gather.start(&mut upstreams, Instant::now());
         loop {
             for action in actions {
@@ -132,7 +136,7 @@
                     Action::Call(call) => {
                         let (handle, registration) = AbortHandle::new_pair();
                         handles.insert(call.attempt_id, handle);
-                        calls.push(Abortable::new(self.make_call(call), registration));
+                        calls.push(Abortable::new(self.call_in_turn(call), registration));
                     }
                     Action::Cancel(attempt_id) => {
                         if let Some(handle) = handles.remove(&attempt_id) {
@@ -158,6 +162,20 @@
         }
     }
 
+    /// Makes a call once the server has room for it.
+    async fn call_in_turn(&self, mut call: LeafCall) -> Event<Rows> {
+        let asked = Instant::now();
+        self.tally.set_wait(call.attempt_id, None);
+        let _turn = match self.place.turn(call.server).await {
+            Ok(turn) => turn,
+            Err(failure) => return Event::Failed(call.attempt_id, failure),
+        };
+        let wait = asked.elapsed();
+        self.tally.set_wait(call.attempt_id, Some(wait));
+        call.time_left = call.time_left.saturating_sub(wait);
+        self.make_call(call).await
+    }
+
     async fn make_call(&self, mut call: LeafCall) -> Event<Rows> {
         let asked = Instant::now();
         let canaries = &self.shared.canaries;
--- a/crates/request/admit/tests/gate.rs
+++ b/crates/request/admit/tests/gate.rs
@@ -117,6 +117,28 @@
     assert_eq!(bench.drain(first), background);
 }
 
+#[test]
+fn the_reserve_is_for_urgent_work_and_ranks_that_are_due() {
+    let mut bench = Bench::new(4, floors(0.0, 0.0, 0.25).reserve_share(0.5));
+    let background = bench.offer_many(Rank::Background, "a", 1);
+    bench.offer_many(Rank::Routine, "a", 3);
+    let (_, waits) = bench.offer(Rank::Routine, "a", 1_000 * MS);
+    assert_eq!(waits, []);
+    let (urgent, actions) = bench.offer(Rank::Urgent, "a", 1_000 * MS);
+    assert_eq!(actions, [Action::Admit(urgent)]);
+    // The first background query took its credit; four admissions have earned one.
+    let (due, actions) = bench.offer(Rank::Background, "a", 1_000 * MS);
+    assert_eq!(actions, [Action::Admit(due)]);
+    let (_, full) = bench.offer(Rank::Urgent, "a", 1_000 * MS);
+    assert_eq!(full, []);
+    // Three have to end before there is room within the window.
+    assert_eq!(bench.gate.running(), 6);
+    assert!(matches!(
+        bench.complete(background[0])[..],
+        [Action::Admit(_)]
+    ));
+}
+
 #[test]
 fn tenants_take_turns_inside_a_rank() {
     let mut bench = Bench::new(1, Config::default());
