Keep a reserve at each server for urgent work and ranks that are due

Cause: an urgent call waited at the relay for a turn although the servers' queue behind it is short.

--- a/crates/process/host/src/relay/gate/mod.rs
+++ b/crates/process/host/src/relay/gate/mod.rs
@@ -28,6 +28,9 @@
 /// leave slots idle for as long as a call is on its way.
 const CALLS_PER_SLOT: usize = 2;
 
+/// Calls beyond the limit of a server for urgent work and ranks that are due, as a share of it.
+const CALL_RESERVE_SHARE: f64 = 0.5;
+
 /// The gates of all services.
 #[derive(Default)]
 pub(crate) struct Gates(RwLock<HashMap<String, Arc<ServiceGate>>>);
@@ -180,6 +183,7 @@
             // The window of the service bounds what waits here.
             let config = Config::default()
                 .floor_share(built_for.floor_share)
+                .reserve_share(CALL_RESERVE_SHARE)
                 .max_waiting(usize::MAX);
             let window = Fixed::new(built_for.calls_per_server);
             Arc::new(Door::new(Gate::new(config, window)))
--- a/crates/test/trial/src/relay.rs
+++ b/crates/test/trial/src/relay.rs
@@ -20,6 +20,8 @@
 const NO_WINDOW: usize = 1_000_000;
 /// Leaf calls that wait, in trials with queues at the leaves.
 const MAX_LEAF_WAITING: usize = 100_000;
+/// Calls beyond the limit of a server for urgent work and ranks that are due, as a share of it.
+const LEAF_RESERVE_SHARE: f64 = 0.5;
 /// Share of the connection limit that relays use, so that a replaced one finds room.
 const CONNECTION_SHARE: f64 = 0.75;
 
@@ -77,6 +79,7 @@
     let window = calls.ceil() as usize;
     let config = Config::default()
         .floor_share(trial.floor_share)
+        .reserve_share(LEAF_RESERVE_SHARE)
         .max_waiting(MAX_LEAF_WAITING);
     (0..service.server_count())
         .map(|_| Rc::new(Door::new(config, Fixed::new(window), clock)))
