--- a/crates/request/admit/src/gate.rs
+++ b/crates/request/admit/src/gate.rs
@@ -196,7 +196,9 @@
     /// Returns how many queries may run for one of `rank` to be admitted.
     fn limit_for(&self, rank: Rank) -> usize {
         let limit = self.window.limit();
-        if rank == Rank::Urgent || self.floors.is_due(rank) {
+        // A floor needs the reserve only against urgent work that would take it.
+        let is_urgent_waiting = self.lines.get(Rank::Urgent).len() > 0;
+        if rank == Rank::Urgent || (self.floors.is_due(rank) && is_urgent_waiting) {
             return limit + (limit as f64 * self.reserve_share) as usize;
         }
         limit
