--- a/crates/process/host/src/admin/in_force.rs
+++ b/crates/process/host/src/admin/in_force.rs
@@ -5,7 +5,7 @@
 //! wait; a host that does not answer counts as lagging.
 
 use {
-    crate::{entry::Problem, shared::Shared},
+    crate::{entry::Problem, peer, shared::Shared},
     axum::{
         extract::{Path, Query, State},
         Json,
@@ -114,7 +114,7 @@
 }
 
 /// Asks every host of the membership what it holds.
-pub(crate) async fn ask_all(shared: &Shared) -> Vec<View> {
+pub(crate) async fn ask_all(shared: &Arc<Shared>) -> Vec<View> {
     let members = shared.members.all();
     let asked = members.iter().map(|member| async {
         if member.id == shared.settings.member.id {
@@ -124,7 +124,7 @@
             };
         }
         // The highest revision asks for the head alone, without its records.
-        let held = shared.peers.held(member.peer_addr, Revision::MAX).await;
+        let held = peer::held(shared, member.peer_addr, Revision::MAX).await;
         View {
             host: member.id.clone(),
             head: held.ok().map(|held| held.head),
--- a/crates/process/host/src/config.rs
+++ b/crates/process/host/src/config.rs
@@ -6,13 +6,13 @@
 
 use {
     crate::{
-        peer::{CONNECT_TIMEOUT, HELD_TIMEOUT},
+        members::Newer,
+        peer::{self, CONNECT_TIMEOUT, EXCHANGE_TIMEOUT},
         shared::Shared,
     },
-    fleet::LifeEvent,
+    fleet::{LifeEvent, ROUND_PAUSE},
     kind::{Kind, Result},
     parking_lot::Mutex,
-    rand::seq::IndexedRandom,
     record::{judge, Bundle, Head, HeadId, InForce, Source, Verdict, WireBundle},
     std::{sync::Arc, time::Duration},
     store::{load_bundle, Fault, Platform, Value, HEAD_KEY},
@@ -23,13 +23,11 @@
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between two looks at what a peer holds.
-const PEER_PAUSE: Duration = Duration::from_millis(500);
 
 /// Longest time from one look at a random peer to the next.
-pub const MAX_LOOK_TIME: Duration = PEER_PAUSE
+pub const MAX_LOOK_TIME: Duration = ROUND_PAUSE
     .saturating_add(CONNECT_TIMEOUT)
-    .saturating_add(HELD_TIMEOUT);
+    .saturating_add(EXCHANGE_TIMEOUT);
 
 /// Head of the store that was refused last, so that one alarm is raised for each.
 #[derive(Default)]
@@ -90,26 +88,27 @@
     }
 }
 
-/// Asks random peers what they hold, for as long as the process lives.
+/// Fetches the records of peers that the exchange finds to hold newer ones, for as
+/// long as the process lives.
 pub(crate) async fn follow_peers(shared: Arc<Shared>) {
-    loop {
-        sleep(PEER_PAUSE).await;
-        let members = shared.members.all();
-        let others: Vec<_> = members
-            .iter()
-            .filter(|member| member.id != shared.settings.member.id)
-            .collect();
-        let Some(peer) = others.choose(&mut rand::rng()).map(|m| m.peer_addr) else {
+    let mut newer = shared.members.newer();
+    // The sender lives in `shared`, so waiting cannot fail.
+    while newer.changed().await.is_ok() {
+        let Some(Newer { revision, addr }) = *newer.borrow_and_update() else {
             continue;
         };
-        let revision = shared.in_force().revision();
-        // A peer that does not answer is the membership's concern.
-        let Ok(held) = shared.peers.held(peer, revision).await else {
+        let in_force = shared.in_force().revision();
+        if revision <= in_force {
+            continue;
+        }
+        // A peer that does not answer is the membership's concern; the next
+        // exchange finds another.
+        let Ok(held) = peer::held(&shared, addr, in_force).await else {
             continue;
         };
         let Some(bundle) = held.bundle else { continue };
         if let Err(error) = adopt_from_peer(&shared, bundle) {
-            log::warn!(target: "config", "Bundle of {peer} not adopted: {error}.");
+            log::warn!(target: "config", "Bundle of {addr} not adopted: {error}.");
         }
     }
 }
--- a/crates/process/host/src/lib.rs
+++ b/crates/process/host/src/lib.rs
@@ -7,11 +7,14 @@
 mod admin;
 mod claims;
 mod config;
+mod counted;
 mod entry;
+mod flushed;
 mod life;
 mod members;
 mod peer;
 mod relay;
+mod relay_sets;
 mod run;
 mod settings;
 mod shared;
--- a/crates/process/host/src/relay/gate/mod.rs
+++ b/crates/process/host/src/relay/gate/mod.rs
@@ -135,7 +135,7 @@
 impl Gates {
     fn get(&self, shared: &Shared, service: &Service) -> Arc<ServiceGate> {
         let in_force = shared.in_force();
-        let relays = relay_count(shared, service);
+        let relays = shared.relay_sets.of(shared, service).relays.len().max(1);
         let found = self.0.read().get(&service.name).cloned();
         let gate = found.unwrap_or_else(|| {
             let mut gates = self.0.write();
@@ -204,14 +204,6 @@
     }
 }
 
-fn relay_count(shared: &Shared, service: &Service) -> usize {
-    let members = shared.members.all().len().max(1);
-    let wanted = service.relays.map(|relays| relays as usize);
-    wanted
-        .or(shared.settings.default_relays)
-        .map_or(members, |relays| relays.min(members))
-}
-
 /// Returns the bounds of the window from the slots of the scarcest shard.
 fn bounds(service: &Service, relays: usize) -> Bounds {
     let shards = service
--- a/crates/process/host/tests/leaf_faults.rs
+++ b/crates/process/host/tests/leaf_faults.rs
@@ -236,6 +236,8 @@
         balancer_lag_ms: 0,
         max_body_bytes: 65_536,
         default_relays: 1,
+        seed_peers: Vec::new(),
+        max_drain_ms: 30_000,
     })
 }
 
