--- a/crates/bin/wharf/tests/upstreams.rs
+++ b/crates/bin/wharf/tests/upstreams.rs
@@ -36,7 +36,12 @@
     for wave in 0..waves {
         let items = (0..width).map(|i| query(path, first + wave * width + i));
         for answer in futures::future::join_all(items).await {
-            complete += usize::from(is_complete(&answer?));
+            let answer = answer?;
+            if is_complete(&answer) {
+                complete += 1;
+            } else {
+                println!("not complete: {}", answer.text);
+            }
         }
     }
     Ok(complete)
