Keep what a lost relay may have run in the answer of the next one

Cause: an entry that lost a relay with the query in flight and then got an answer from another relay took that answer's execution state alone. With all upstreams shedding by then it told the caller 'shed, ran: no' about a request that upstreams had run.

Failed first: a_refusal_after_a_lost_relay_does_not_say_that_nothing_ran, with 'ran: no' where 'unknown' is due.

--- a/crates/bin/wharf/tests/two_at_once.rs
+++ b/crates/bin/wharf/tests/two_at_once.rs
@@ -150,6 +150,57 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_refusal_after_a_lost_relay_does_not_say_that_nothing_ran() -> Result<()> {
+    let path = start(Behaviour::default()).await?;
+    let (relays, entries) = relays_and_entries(&path).await?;
+    let slow = Behaviour {
+        mean_ms: 2_000.0,
+        ..Behaviour::default()
+    };
+    path.set_behaviour(&slow).await?;
+    let before = path.seen().await?.runs.len();
+    let shed_and_cut = async {
+        wait_for_runs(&path, before + SHARDS - 1).await?;
+        path.set_behaviour(&Behaviour {
+            is_shedding: true,
+            ..slow
+        })
+        .await?;
+        // Whichever relay has the query is gone, and the entry has to look elsewhere.
+        kill_host(&path, serving_relay(&path, &relays).await?)
+    };
+    let query = path.query(entries[0], "shortfall", &[], "{}");
+    let (answer, cut) = tokio::join!(query, shed_and_cut);
+    cut?;
+    let answer = answer?;
+    assert_ne!(answer.status, StatusCode::OK, "{}", answer.text);
+    assert_eq!(answer.json()["ran"], "unknown", "{}", answer.text);
+    Ok(())
+}
+
+/// Finds the relay that has a query in flight.
+async fn serving_relay(path: &Path, relays: &[usize]) -> Result<usize> {
+    for _ in 0..MAX_POLLS {
+        for relay in relays {
+            let addr = path.hosts[*relay].admin_addr;
+            let answer = path
+                .client
+                .send(Method::GET, addr, "/metrics", &[], "")
+                .await?;
+            let is_serving = answer
+                .text
+                .lines()
+                .any(|line| line.starts_with("wharf_in_flight") && !line.ends_with(" 0"));
+            if is_serving {
+                return Ok(*relay);
+            }
+        }
+        sleep(POLL_PAUSE).await;
+    }
+    anyhow::bail!("no relay has a query in flight")
+}
+
 #[tokio::test]
 async fn an_index_change_while_a_relay_is_killed_mixes_no_versions() -> Result<()> {
     let path = start(Behaviour {
--- a/crates/process/host/src/entry/forward.rs
+++ b/crates/process/host/src/entry/forward.rs
@@ -82,10 +82,12 @@
         call.time_left_ms = time_left_ms(deadline).map_err(|e| e.with_ran(last_error.ran()))?;
         let attempt = try_relay(shared, choice, relay, &call, deadline).await;
         match attempt {
-            Ok(answer) => {
+            Ok(mut answer) => {
                 if answer.coverage.is_complete() {
                     shared.canaries.quarantine.on_success(fingerprint);
                 }
+                // A relay that was lost before may have run the request.
+                answer.ran = last_error.ran().and(answer.ran);
                 return Ok(answer);
             }
             Err(lost) => {
