--- /dev/null
+++ b/crates/test/fakes/src/process/records.rs
@@ -0,0 +1,84 @@
+//! Records that a test writes.
+
+use {
+    crate::{
+        client::Answer,
+        process::{Path, ADMIN_TOKEN},
+    },
+    anyhow::{ensure, Result},
+    http::Method,
+};
+
+impl Path {
+    /// Returns the TOML text of the service record.
+    pub fn service_toml(&self, version: u32, index_versions: &[u64]) -> String {
+        let mut text = format!(
+            "schema_version = 2\nname = \"restock-desk\"\nversion = {version}\n\n[service]\n\
+             connection_limit = {}\nslots = {}\nrelays = {}\n",
+            self.layout.behaviour.connection_limit, self.layout.behaviour.slots, self.layout.relays
+        );
+        for index_version in index_versions {
+            text += &format!("\n[[service.indexes]]\nversion = {index_version}\n");
+            for (shard, servers) in self.servers.iter().enumerate() {
+                text += &format!("[[service.indexes.shards]]\nid = {shard}\nservers = [\n");
+                for (i, addr) in servers.iter().enumerate() {
+                    text += &format!("  {{ addr = \"{addr}\", zone = \"zone-{i}\" }},\n");
+                }
+                text += "]\n";
+            }
+        }
+        text
+    }
+
+    /// Returns the TOML text of a route record with further lines in its body.
+    pub fn route_toml(name: &str, version: u32, repeatable: bool, further: &str) -> String {
+        format!(
+            "schema_version = 2\nname = \"{name}\"\nversion = {version}\n\n[route]\n\
+             service = \"restock-desk\"\nrepeatable = {repeatable}\n\
+             default_deadline_ms = 5000\nmax_deadline_ms = 20000\n{further}"
+        )
+    }
+
+    /// Commits the service record and a repeatable route, and waits until every host is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a record is refused or a host does not get ready.
+    pub async fn configure(&self) -> Result<()> {
+        self.put_record(&self.service_toml(1, &self.layout.behaviour.index_versions))
+            .await?;
+        self.put_record(&Self::route_toml("shortfall", 1, true, ""))
+            .await?;
+        for host in &self.hosts {
+            self.wait_for(host.entry_addr, "/readyz").await?;
+        }
+        Ok(())
+    }
+
+    /// Commits a record through the first host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is refused.
+    pub async fn put_record(&self, toml: &str) -> Result<()> {
+        let answer = self.put_record_through(0, toml).await?;
+        ensure!(answer.status.is_success(), "{}", answer.text);
+        Ok(())
+    }
+
+    /// Commits a record through one host and returns its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host does not answer.
+    pub async fn put_record_through(&self, host: usize, toml: &str) -> Result<Answer> {
+        let raw = record::RawRecord::from_toml(toml)?;
+        let path = format!("/v1/admin/records/{}/{}", raw.name, raw.version);
+        let token = format!("Bearer {ADMIN_TOKEN}");
+        let headers = [("authorization", token.as_str())];
+        let addr = self.hosts[host].admin_addr;
+        self.client
+            .send(Method::PUT, addr, &path, &headers, raw.to_json())
+            .await
+    }
+}
