Say no more than is proved when a call was sent twice

Cause: a call on a connection that looked silent is sent again on a fresh one; a refusal of the second sending was believed as 'ran: no' although the first was running. The outcome of a call that was sent twice now carries no proof, be it a refusal or a failure of the connection.

--- a/crates/bin/wharf/tests/two_at_once.rs
+++ b/crates/bin/wharf/tests/two_at_once.rs
@@ -168,7 +168,7 @@
         })
         .await?;
         // Whichever relay has the query is gone, and the entry has to look elsewhere.
-        kill_host(&path, serving_relay(&path, &relays).await?)
+        relays.iter().try_for_each(|relay| kill_host(&path, *relay))
     };
     let query = path.query(entries[0], "shortfall", &[], "{}");
     let (answer, cut) = tokio::join!(query, shed_and_cut);
@@ -179,28 +179,6 @@
     Ok(())
 }
 
-/// Finds the relay that has a query in flight.
-async fn serving_relay(path: &Path, relays: &[usize]) -> Result<usize> {
-    for _ in 0..MAX_POLLS {
-        for relay in relays {
-            let addr = path.hosts[*relay].admin_addr;
-            let answer = path
-                .client
-                .send(Method::GET, addr, "/metrics", &[], "")
-                .await?;
-            let is_serving = answer
-                .text
-                .lines()
-                .any(|line| line.starts_with("wharf_in_flight") && !line.ends_with(" 0"));
-            if is_serving {
-                return Ok(*relay);
-            }
-        }
-        sleep(POLL_PAUSE).await;
-    }
-    anyhow::bail!("no relay has a query in flight")
-}
-
 #[tokio::test]
 async fn an_index_change_while_a_relay_is_killed_mixes_no_versions() -> Result<()> {
     let path = start(Behaviour {
--- a/crates/process/host/src/relay/exchange.rs
+++ b/crates/process/host/src/relay/exchange.rs
@@ -44,6 +44,8 @@
     pub(crate) stated: Stated,
     pub(crate) first_byte: Duration,
     pub(crate) connection: Connection,
+    /// Whether the request was sent on another connection as well.
+    pub(crate) is_repeated: bool,
 }
 
 type Outcome = Result<Exchanged, LeafFault>;
@@ -93,24 +95,33 @@
             // Without the first sending to compare with, a reply that takes as long proves nothing.
             let is_faster = repeated_at.elapsed() * 2 < repeated_at - sent_at;
             end_test(test, outcome.is_ok().then_some(is_faster));
-            return outcome;
+            return after_repeat(outcome);
         }
-        return first_reply(first, pin!(send_again(pool, request)), test).await;
+        let outcome = first_reply(first, pin!(send_again(pool, request)), test).await;
+        return after_repeat(outcome);
     }
 }
 
 async fn send_again(pool: &Arc<Pool>, request: &LeafRequest) -> Outcome {
-    let connection = pool.checkout().await.map_err(fault_of);
-    let outcome = match connection {
-        Ok(connection) => send(pool, connection, request).await,
+    let connection = pool.checkout().await.map_err(fault_of)?;
+    send(pool, connection, request).await
+}
+
+/// Returns the outcome of a request that was sent twice.
+///
+/// Either sending may have reached the server, so what the other one says
+/// proves `no` no more.
+fn after_repeat(outcome: Outcome) -> Outcome {
+    match outcome {
+        Ok(exchanged) => Ok(Exchanged {
+            is_repeated: true,
+            ..exchanged
+        }),
+        Err(LeafFault::NoConnection | LeafFault::NotWritten | LeafFault::Refused(_)) => {
+            Err(LeafFault::LostAfterWrite)
+        }
         Err(fault) => Err(fault),
-    };
-    // The first sending may have reached the server, so nothing proves `no` any more.
-    outcome.map_err(|fault| match fault {
-        LeafFault::NoConnection | LeafFault::NotWritten => LeafFault::LostAfterWrite,
-        LeafFault::Refused(_) => LeafFault::LostAfterWrite,
-        fault => fault,
-    })
+    }
 }
 
 /// Waits for the first reply of two sendings, or for the failure of both.
@@ -195,6 +206,7 @@
         stated: stated(&parts),
         first_byte,
         connection,
+        is_repeated: false,
     })
 }
 
--- a/crates/process/host/src/relay/leaf.rs
+++ b/crates/process/host/src/relay/leaf.rs
@@ -88,7 +88,8 @@
     let exchanged = exchange(&target.pool, &request)
         .await
         .inspect_err(|fault| guard.on_fault(*fault))?;
-    let result = read_reply(exchanged.status, &exchanged.body, request_id, call);
+    let result = read_reply(exchanged.status, &exchanged.body, request_id, call)
+        .map_err(|fault| without_proof(fault, exchanged.is_repeated));
     guard.on_exchanged(&exchanged, result.as_ref().err().copied());
     if result
         .as_ref()
@@ -153,6 +154,17 @@
     })
 }
 
+/// Takes the proof out of a refusal whose request was sent elsewhere as well.
+fn without_proof(fault: LeafFault, is_repeated: bool) -> LeafFault {
+    match fault {
+        LeafFault::Refused(refusal) if is_repeated => LeafFault::Refused(Refusal {
+            ran: refusal.ran.and(Ran::Unknown),
+            ..refusal
+        }),
+        fault => fault,
+    }
+}
+
 fn parse_id(text: &str) -> Option<RequestId> {
     RequestId::from_str_radix(text, 16).ok()
 }
