--- a/crates/bin/wharf/tests/two_at_once.rs
+++ b/crates/bin/wharf/tests/two_at_once.rs
@@ -179,6 +179,33 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_refusal_of_a_repeated_call_does_not_say_that_nothing_ran() -> Result<()> {
+    let path = start(Behaviour::default()).await?;
+    let (_, entries) = relays_and_entries(&path).await?;
+    let slow = Behaviour {
+        mean_ms: 3_000.0,
+        ..Behaviour::default()
+    };
+    path.set_behaviour(&slow).await?;
+    let before = path.seen().await?.runs.len();
+    let shed = async {
+        wait_for_runs(&path, before + SHARDS - 1).await?;
+        path.set_behaviour(&Behaviour {
+            is_shedding: true,
+            ..slow
+        })
+        .await
+    };
+    // The servers look silent, so their calls are sent again and refused.
+    let query = path.query(entries[0], "shortfall", &[], "{}");
+    let (answer, shed) = tokio::join!(query, shed);
+    shed?;
+    let answer = answer?;
+    assert_ne!(answer.json()["ran"], "no", "{}", answer.text);
+    Ok(())
+}
+
 #[tokio::test]
 async fn an_index_change_while_a_relay_is_killed_mixes_no_versions() -> Result<()> {
     let path = start(Behaviour {
