Explain the relay set that queries really use

explain.rs worked the relays out by itself, from the record and the flag alone, and so left out the bound by the connection limit and the preference for the service's regions; it could name hosts that no query goes to. It now asks relay_sets, as entry, gate and upkeep do.

--- a/crates/process/host/src/admin/explain.rs
+++ b/crates/process/host/src/admin/explain.rs
@@ -6,7 +6,6 @@
         extract::{Path, Query, State},
         Json,
     },
-    fleet::relay_set,
     kind::{Error, Kind, Result},
     plan::Pin,
     record::{
@@ -83,15 +82,8 @@
 }
 
 fn relays(shared: &Shared, service: &Service) -> Vec<HostId> {
-    let members = shared.members.all();
-    let wanted = service.relays.map(|relays| relays as usize);
-    let count = wanted
-        .or(shared.settings.default_relays)
-        .unwrap_or(members.len());
-    relay_set(&service.name, &members, count)
-        .into_iter()
-        .map(|member| member.id.clone())
-        .collect()
+    let set = shared.relay_sets.of(shared, service);
+    set.relays.iter().map(|relay| relay.id.clone()).collect()
 }
 
 fn explain_route(route: &Route) -> RouteExplained {
