Let the test of a shedding server pay for its own retry

Tests come with the time, tokens come with first calls. On a loaded machine, or wherever queries are few, the tests spent all tokens, so a shard whose first call was such a test got no second one and was missing.

Weighed: a least number of tokens a second. It adds calls to a full outage of a service with few queries, which this change does not: a call is a test only while another server of the shard works.

--- a/crates/bin/wharf/tests/upstreams.rs
+++ b/crates/bin/wharf/tests/upstreams.rs
@@ -193,7 +193,31 @@
 
 #[tokio::test]
 async fn a_shedding_upstream_costs_no_answer_and_is_left_in_peace() -> Result<()> {
-    let path = Path::start(Layout::default()).await?;
+    let path = path_with_shedding_servers(4).await?;
+    assert_eq!(complete_of(&path, 50, 4, 0).await?, 200);
+    let seen = path.seen().await?;
+    assert!(seen.refused * 10 <= seen.calls, "{seen:?}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_shedding_upstream_costs_no_answer_where_queries_are_few() -> Result<()> {
+    let path = path_with_shedding_servers(8).await?;
+    // Between two queries every shedding server is due for its next test.
+    for item in 0..25 {
+        assert_eq!(complete_of(&path, 1, 1, item).await?, 1);
+        sleep(Duration::from_millis(100)).await;
+    }
+    Ok(())
+}
+
+/// Starts a path in which the first server of each of `shards` shards sheds.
+async fn path_with_shedding_servers(shards: usize) -> Result<Path> {
+    let path = Path::start(Layout {
+        shards,
+        ..Layout::default()
+    })
+    .await?;
     path.configure().await?;
     let shedding = Behaviour {
         is_shedding: true,
@@ -202,10 +226,7 @@
     for server in first_servers(&path) {
         path.set_one_behaviour(server, &shedding).await?;
     }
-    assert_eq!(complete_of(&path, 50, 4, 0).await?, 200);
-    let seen = path.seen().await?;
-    assert!(seen.refused * 10 <= seen.calls, "{seen:?}");
-    Ok(())
+    Ok(path)
 }
 
 /// Waits until a host knows a route.
--- a/crates/connection/link/src/server.rs
+++ b/crates/connection/link/src/server.rs
@@ -174,8 +174,17 @@
     /// After that a single call tries it; the others wait for its end.
     pub(crate) fn held_out_until(&self, now: Instant) -> Option<Instant> {
         let paused = self.held_out.until(now).max(self.shed.until(now));
-        let is_on_trial = self.held_out.has_failed() || self.shed.has_failed();
-        paused.or_else(|| (is_on_trial && self.in_flight > 0).then_some(now))
+        paused.or_else(|| (self.is_on_trial() && self.in_flight > 0).then_some(now))
+    }
+
+    /// Returns whether the server has not replied since it was held out.
+    pub(crate) fn is_on_trial(&self) -> bool {
+        self.held_out.has_failed() || self.shed.has_failed()
+    }
+
+    /// Returns whether nothing speaks against the server.
+    pub(crate) fn works(&self, now: Instant) -> bool {
+        self.failures == 0 && !self.is_on_trial() && !self.is_draining(now)
     }
 
     /// Returns the share of its full load that the server takes by now, from 0 to 1.
--- a/crates/connection/link/src/table.rs
+++ b/crates/connection/link/src/table.rs
@@ -88,6 +88,15 @@
         servers.any(|server| self.with(server.addr, now, |state| state.is_shedding(now)))
     }
 
+    /// Returns whether a call to `server` only tests if it works again, while
+    /// another server of `shard` works.
+    pub fn is_test(&self, shard: &Shard, server: ServerAddr, now: Instant) -> bool {
+        let is_on_trial = |addr| self.with(addr, now, |state| state.is_on_trial());
+        let works = |addr| self.with(addr, now, |state| state.works(now));
+        let mut others = shard.servers.iter().filter(|other| other.addr != server);
+        is_on_trial(server) && others.any(|other| works(other.addr))
+    }
+
     /// Takes the begin of a call.
     pub fn on_begin(&self, addr: ServerAddr, now: Instant) {
         self.with(addr, now, Server::on_begin);
--- a/crates/connection/link/tests/table.rs
+++ b/crates/connection/link/tests/table.rs
@@ -163,6 +163,26 @@
     assert!(picks(&table, &shard, later)[&1] > 400);
 }
 
+#[test]
+fn a_call_is_a_test_only_while_another_server_works() {
+    let shed = Evidence::Refused(Refusal::Shed);
+    let cases = [
+        (Evidence::Replied(ms(4)), Evidence::Replied(ms(4)), false),
+        (shed, Evidence::Replied(ms(4)), true),
+        (shed, shed, false),
+        (shed, Evidence::Unreachable, false),
+        (Evidence::Unreachable, Evidence::Replied(ms(4)), false),
+    ];
+    for (first, second, is_test) in cases {
+        let shard = shard(2);
+        let (table, now) = settled(&shard);
+        end(&table, 1, first, now);
+        end(&table, 2, second, now);
+        let found = table.is_test(&shard, addr(1), now);
+        assert_eq!(found, is_test, "{first:?} {second:?}");
+    }
+}
+
 #[test]
 fn tried_servers_are_left_out_where_possible() {
     let shard = shard(2);
--- a/crates/process/host/src/relay/gate/in_turn.rs
+++ b/crates/process/host/src/relay/gate/in_turn.rs
@@ -48,6 +48,10 @@
         self.upstreams.may_hedge(shard, now)
     }
 
+    fn is_test(&self, shard: &Shard, server: ServerAddr, now: Instant) -> bool {
+        self.upstreams.is_test(shard, server, now)
+    }
+
     fn waited(&self, attempt_id: AttemptId) -> Duration {
         self.tally.waited(attempt_id)
     }
--- a/crates/process/host/src/relay/upstreams.rs
+++ b/crates/process/host/src/relay/upstreams.rs
@@ -30,6 +30,10 @@
     fn may_hedge(&self, shard: &Shard, now: Instant) -> bool {
         !self.0.is_shedding(shard, now)
     }
+
+    fn is_test(&self, shard: &Shard, server: ServerAddr, now: Instant) -> bool {
+        self.0.is_test(shard, server, now)
+    }
 }
 
 /// One call in flight; its end becomes evidence about its server.
--- a/crates/request/plan/src/gather.rs
+++ b/crates/request/plan/src/gather.rs
@@ -229,6 +229,10 @@
             time_left: self.limits.time_left(step.now).saturating_sub(HOP),
         };
         self.next_attempt_id += 1;
+        let shard = &self.pin.index().shards[position];
+        if step.upstreams.is_test(shard, server, step.now) {
+            self.group.on_test();
+        }
         let work = &mut self.works[position];
         work.tried.push(server);
         work.open.push(call.attempt_id);
--- a/crates/request/plan/src/group.rs
+++ b/crates/request/plan/src/group.rs
@@ -103,6 +103,15 @@
         self.retries.lock().earn(calls, RETRY_SHARE);
     }
 
+    /// Takes a call that tests if a server works again.
+    ///
+    /// It is made for the tier's own sake, so it earns the retry that its
+    /// failure costs. Tests are rare by themselves: a server that fails one is
+    /// held out for longer.
+    pub(crate) fn on_test(&self) {
+        self.retries.lock().earn(1, 1.0);
+    }
+
     /// Counts a call as under way.
     pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/crates/request/plan/src/upstreams.rs
+++ b/crates/request/plan/src/upstreams.rs
@@ -21,6 +21,12 @@
         true
     }
 
+    /// Returns whether a call to `server` only tests if it works again, while
+    /// another server of `shard` works.
+    fn is_test(&self, _shard: &Shard, _server: ServerAddr, _now: Instant) -> bool {
+        false
+    }
+
     /// Returns how long a call waited in this process before it was sent.
     ///
     /// That time says nothing about the server. A call that still waits
--- a/crates/request/plan/tests/common/mod.rs
+++ b/crates/request/plan/tests/common/mod.rs
@@ -84,6 +84,19 @@
     }
 }
 
+/// Picks servers in the order of the record; the first may be on test.
+pub(crate) struct Testing(pub(crate) bool);
+
+impl Upstreams for Testing {
+    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], now: Instant) -> Option<ServerAddr> {
+        InOrder.pick(shard, tried, now)
+    }
+
+    fn is_test(&self, shard: &Shard, server: ServerAddr, _: Instant) -> bool {
+        self.0 && shard.servers[0].addr == server
+    }
+}
+
 pub(crate) fn limits(start: Instant, is_repeatable: bool) -> Limits {
     Limits {
         deadline: start + ms(1_000),
--- a/crates/request/plan/tests/gather.rs
+++ b/crates/request/plan/tests/gather.rs
@@ -5,9 +5,9 @@
 use {
     common::*,
     kind::Ran,
-    plan::{Cause, Event, LeafCall, Reason},
+    plan::{Cause, Event, Group, LeafCall, Reason},
     record::{Coverage, Hedge, WhenShort},
-    std::time::Instant,
+    std::{sync::Arc, time::Instant},
 };
 
 #[test]
@@ -183,6 +183,25 @@
     }
 }
 
+#[test]
+fn the_retry_of_a_test_needs_no_budget() {
+    let start = Instant::now();
+    // Far more failures than first calls earn retries.
+    for (is_test, all_are_retried) in [(true, true), (false, false)] {
+        let group = Arc::<Group>::default();
+        let mut upstreams = Testing(is_test);
+        let mut retries = 0;
+        for _ in 0..100 {
+            let gather = gather(&service(1, &[(1, 1)]), start, true);
+            let mut gather = gather.with_group(Arc::clone(&group));
+            let first = calls(&gather.start(&mut upstreams, start));
+            let refused = failed(&first[0], Reason::Shed, Ran::No);
+            retries += calls(&gather.on_event(refused, &mut upstreams, start)).len();
+        }
+        assert_eq!(retries == 100, all_are_retried, "{retries} retries");
+    }
+}
+
 #[test]
 fn a_reply_with_any_foreign_id_counts_as_lost() {
     let start = Instant::now();
