Give the drain tests a lag and a deadline that a slow machine keeps

Cause: at a machine load of 58, 4 of 64 runs failed. The lag was 0.1 s, so queries sent with the signal reached the entry after its listener had closed ('connection reset by peer', 'connection closed before message completed'), or came in after the lag (503, ran: no) though the test counted them as sent before; and queries ran into the default deadline of 1 s.

Ruled out: work in flight being cut. No failing run had such an answer.

The entry's lag is 1 s and the deadline 10 s now, and queries take 0.3 s each so that work is in flight when the lag is over. Mutants: an entry that gives up at the end of the lag answers 503, ran: unknown; an exit at that time loses an answer of the entry and cancels 16 calls of the relay.

--- a/crates/bin/wharf/tests/drain.rs
+++ b/crates/bin/wharf/tests/drain.rs
@@ -22,6 +22,8 @@
 /// Queries on their way when the host is asked to stop, and again after it; few
 /// enough that the gate has room for all.
 const QUERIES: usize = 20;
+/// Header of the deadline, with room for a slow machine.
+const DEADLINE: (&str, &str) = ("x-wharf-deadline-ms", "10000");
 const EXIT_POLLS: usize = 1_500;
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 
@@ -41,12 +43,27 @@
     Relay,
 }
 
+impl Drained {
+    /// Returns how long the host takes work after the signal, in milliseconds.
+    ///
+    /// The queries take longer, so that work is in flight when it is over.
+    fn balancer_lag_ms(self) -> u64 {
+        match self {
+            // Room for a slow machine: what callers have sent is reset by the
+            // system if it waits unaccepted when the listener closes.
+            Self::Entry => 1_000,
+            Self::Relay => 100,
+        }
+    }
+}
+
 async fn drain_under_load(drained: Drained) -> Result<()> {
     let mut path = Path::start(Layout {
         hosts: HOSTS,
         shards: SHARDS,
+        balancer_lag_ms: drained.balancer_lag_ms(),
         behaviour: Behaviour {
-            mean_ms: 50.0,
+            mean_ms: 300.0,
             queue_limit: 1_000,
             ..Behaviour::default()
         },
@@ -101,7 +118,7 @@
 }
 
 async fn send_all(path: &Path, entry: usize) -> Result<Vec<Answer>> {
-    let queries = (0..QUERIES).map(|_| path.query(entry, "shortfall", &[], "{}"));
+    let queries = (0..QUERIES).map(|_| path.query(entry, "shortfall", &[DEADLINE], "{}"));
     join_all(queries).await.into_iter().collect()
 }
 
--- a/crates/test/fakes/src/process/path.rs
+++ b/crates/test/fakes/src/process/path.rs
@@ -31,6 +31,8 @@
     pub behaviour: Behaviour,
     /// Number of relays that the service record names.
     pub relays: u32,
+    /// Time for which a leaving host still takes work, in milliseconds.
+    pub balancer_lag_ms: u64,
     /// Further flags of every host.
     pub host_flags: Vec<String>,
 }
@@ -43,6 +45,7 @@
             servers_per_shard: 2,
             behaviour: Behaviour::default(),
             relays: 1,
+            balancer_lag_ms: 100,
             host_flags: Vec::new(),
         }
     }
@@ -155,7 +158,7 @@
             format!("--admin-addr={admin_addr}"),
             format!("--platform-addr={}", self.platform_addr),
             format!("--admin-token={ADMIN_TOKEN}"),
-            "--balancer-lag-ms=100".to_owned(),
+            format!("--balancer-lag-ms={}", self.layout.balancer_lag_ms),
             "--log-level=warn".to_owned(),
         ];
         arguments.extend(self.layout.host_flags.iter().cloned());
