Refuse changes that leave a route without a service

Cause: a head could list a route whose service was retired, or never put, and each query for it failed as an unknown record. Nothing checked it.

The entry of a route in the head now names its service, and `Head::with_change` refuses a put or rollback of a route whose service is not in force (`unknown-service`) and the retirement of the last version of a service that routes use (`service-in-use`, which names them). The commit plans on the head that it compares and swaps, so a racer cannot slip between check and commit.

Ruled out: a check against what the host holds in force (loses the race); refusing the retirement of a newer version while an older one is in force (there is no hole, and it is the way back from a bad service record); reading every route's body for each change (only done for entries of an older release).

A refusal of a repeat says `ran: unknown` unless it is a conflict, since an earlier call under way may still commit. `wharfctl put` takes services before routes, so that files can be named in any order.

--- a/crates/bin/wharf/tests/records.rs
+++ b/crates/bin/wharf/tests/records.rs
@@ -204,7 +204,14 @@
         explained.contains("service restock-desk/1, index version 1"),
         "{explained}"
     );
+    let used = wharfctl(&path, 0, &["retire", "restock-desk", "1"]);
+    let used = format!("{:#}", used.err().context("a used service was retired")?);
+    assert!(used.contains("used by route shortfall/1"), "{used}");
     wharfctl(&path, 0, &["retire", "shortfall", "1", "--wait"])?;
+    wharfctl(&path, 0, &["retire", "restock-desk", "1"])?;
+    let hole = wharfctl(&path, 0, &["rollback", "shortfall", "1", "--to", "2"]);
+    let hole = format!("{:#}", hole.err().context("a route has no service")?);
+    assert!(hole.contains("names 'restock-desk'"), "{hole}");
     let history = wharfctl(&path, 1, &["history", "shortfall", "1"])?;
     let actions: Vec<_> = history
         .lines()
@@ -245,6 +252,13 @@
         status: 422,
         kind: "bad-record",
     },
+    BadCase {
+        what: "a service that is not in force",
+        headers: &[],
+        body: || good().replace("restock-desk", "restock-desks"),
+        status: 409,
+        kind: "unknown-service",
+    },
     BadCase {
         what: "another name than the path's",
         headers: &[],
--- a/crates/bin/wharfctl/src/change.rs
+++ b/crates/bin/wharfctl/src/change.rs
@@ -53,6 +53,8 @@
             raws.len()
         );
     }
+    // A route is refused as long as its service is not in force.
+    raws.sort_by_key(|(_, raw)| raw.route.is_some());
     for (file, raw) in raws {
         let change = Change {
             what: file.clone(),
--- a/crates/process/host/src/admin/records.rs
+++ b/crates/process/host/src/admin/records.rs
@@ -23,7 +23,8 @@
     serde_json::value::RawValue,
     std::sync::Arc,
     store::{
-        body_key_at, commit, load_body, load_head, load_history, Commit, Committed, MAX_HISTORY,
+        body_key_at, commit, load_body, load_head, load_history, Body, Commit, Committed,
+        MAX_HISTORY,
     },
 };
 
@@ -131,8 +132,9 @@
     headers: HeaderMap,
 ) -> Result<Json<Accepted>, Problem> {
     let id = known_id(&shared, &name, version, query.kind).await?;
-    let body_key = body_key_at(&shared.platform, &id, query.to_revision).await?;
-    let change = Commit::new(Change::RollBack { id, body_key }, stamp(&headers)?);
+    let key = body_key_at(&shared.platform, &id, query.to_revision).await?;
+    let text = load_body(&shared.platform, &key).await?.to_string();
+    let change = Commit::roll_back(&Body { key, text }, stamp(&headers)?)?;
     run(&shared, &headers, change).await
 }
 
--- a/crates/process/host/tests/in_force.rs
+++ b/crates/process/host/tests/in_force.rs
@@ -82,6 +82,12 @@
         .collect();
     platform.set_hosts(listed.clone());
     cut.set_hosts(listed);
+    let service = r#"{"schema_version":2,"name":"s","version":1,"service":{"connection_limit":9,
+        "slots":2,"indexes":[{"version":1,"shards":[{"id":0,"servers":[
+        {"addr":"127.0.0.1:9","zone":"zone-0"}]}]}]}}"#;
+    let path = "/v1/admin/records/s/1";
+    let put = call(hosts[0].admin_addr, Method::PUT, path, service).await?;
+    ensure!(put.status.is_success(), "{}", put.text);
     let record = r#"{"schema_version":2,"name":"shortfall","version":1,"route":{"service":"s",
         "repeatable":true,"default_deadline_ms":5,"max_deadline_ms":9}}"#;
     let path = "/v1/admin/records/shortfall/1";
--- a/crates/process/kind/src/table.rs
+++ b/crates/process/kind/src/table.rs
@@ -81,6 +81,10 @@
     RecordTooLarge, "record-too-large", 413, No, "Record too large";
     /// The head would grow larger than the limit.
     HeadTooLarge, "head-too-large", 507, No, "Too many records in force";
+    /// The route names a service that is not in force.
+    UnknownService, "unknown-service", 409, No, "The service is not in force";
+    /// Routes in force use the service.
+    ServiceInUse, "service-in-use", 409, No, "Routes in force use the service";
     /// The precondition is missing or malformed.
     BadPrecondition, "bad-precondition", 400, No, "Malformed precondition";
     /// Another change came first.
--- a/crates/process/store/src/commit.rs
+++ b/crates/process/store/src/commit.rs
@@ -14,8 +14,9 @@
     bytes::Bytes,
     kind::{Error, Kind, Ran, Result},
     record::{
-        judge, Bundle, Change, Head, HeadId, Operation, Precondition, RawRecord, Record, Revision,
-        Source, Stamp, Verdict, MAX_OPERATIONS, MAX_RECORD_BYTES,
+        judge, Bundle, Change, Head, HeadEntry, HeadId, NamedBody, Operation, Precondition,
+        RawRecord, Record, RecordKind, Revision, Source, Stamp, Verdict, MAX_OPERATIONS,
+        MAX_RECORD_BYTES,
     },
     std::{collections::VecDeque, time::Duration},
     tokio::time::sleep,
@@ -48,8 +49,11 @@
 /// What a commit wants done next.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CommitStep {
-    /// Read the head.
-    ReadHead,
+    /// Read a key.
+    Read {
+        /// Key.
+        key: String,
+    },
     /// Write a key.
     Write {
         /// Key.
@@ -66,7 +70,7 @@
 /// What happened to a step.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CommitEvent {
-    /// The head was read.
+    /// A key was read.
     Read(Result<Option<Value>, Fault>),
     /// A key was written.
     Written(Result<KeyRevision, Fault>),
@@ -87,6 +91,8 @@
     bodies: Vec<Body>,
     held: HeadId,
     base: Option<Base>,
+    /// Head that was read last, while a route of it is read.
+    seen: Option<Base>,
     pending: VecDeque<Body>,
     next: Option<Head>,
     looks: u32,
@@ -104,6 +110,7 @@
             bodies: Vec::new(),
             held: HeadId::default(),
             base: None,
+            seen: None,
             pending: VecDeque::new(),
             next: None,
             looks: 0,
@@ -130,11 +137,20 @@
             key: body_key(&record, &text),
             text,
         };
-        let change = Change::Put {
-            id: record.id(),
-            body_key: body.key.clone(),
-        };
-        Ok(Self::new(change, stamp).with_bodies(vec![body]))
+        let named = named_body(&record, &body);
+        Ok(Self::new(Change::Put(named), stamp).with_bodies(vec![body]))
+    }
+
+    /// Creates the commit that brings an earlier body into force again.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::BadRecord`] if the body does not pass the checks of
+    /// this release.
+    pub fn roll_back(body: &Body, stamp: Stamp) -> Result<Self> {
+        let record = Record::from_json(&body.text)?;
+        let named = named_body(&record, body);
+        Ok(Self::new(Change::RollBack(named), stamp))
     }
 
     /// Creates the commit that gives the store back what a host holds.
@@ -193,7 +209,10 @@
     /// Takes the outcome of the last step and returns the next one.
     pub fn on_event(&mut self, event: CommitEvent) -> CommitStep {
         match event {
-            CommitEvent::Read(Ok(value)) => self.on_head(value),
+            CommitEvent::Read(Ok(value)) => match self.seen.take() {
+                Some(seen) => self.on_route(seen, value),
+                None => self.on_head(value),
+            },
             CommitEvent::Read(Err(fault)) => self.fail(fault),
             CommitEvent::Written(written) if !self.pending.is_empty() => self.on_body(written),
             CommitEvent::Written(written) => self.on_head_written(written),
@@ -203,7 +222,9 @@
     fn look(&mut self) -> CommitStep {
         self.looks += 1;
         if self.looks <= MAX_LOOKS {
-            return CommitStep::ReadHead;
+            return CommitStep::Read {
+                key: HEAD_KEY.to_owned(),
+            };
         }
         let detail = "the head changes all the time".to_owned();
         if self.is_unsettled {
@@ -248,12 +269,56 @@
         if let Err(error) = self.settle(&head) {
             return CommitStep::Done(Err(error));
         }
-        match self.plan(head, key_revision) {
+        self.resolve(Base { head, key_revision })
+    }
+
+    /// Reads the routes whose service must be known and is not; then plans.
+    fn resolve(&mut self, seen: Base) -> CommitStep {
+        if let Some(route) = self.unresolved(&seen.head) {
+            let key = route.body_key.clone();
+            self.seen = Some(seen);
+            return CommitStep::Read { key };
+        }
+        match self.plan(seen.head, seen.key_revision) {
             Ok(()) => self.write(),
+            // An earlier call under way may still find that nothing is in its way.
+            Err(error) if self.is_repeat && error.kind() != Kind::Conflict => {
+                CommitStep::Done(Err(error.with_ran(Ran::Unknown)))
+            }
             Err(error) => CommitStep::Done(Err(error)),
         }
     }
 
+    /// Returns a route whose service decides about a retirement and is not known.
+    fn unresolved<'a>(&self, head: &'a Head) -> Option<&'a HeadEntry> {
+        let retired = match &self.change {
+            Change::Retire { id } => id,
+            _ => return None,
+        };
+        let is_unresolved =
+            |entry: &&HeadEntry| entry.id.kind == RecordKind::Route && entry.service.is_none();
+        match retired.kind {
+            RecordKind::Service => head.entries.iter().find(is_unresolved),
+            RecordKind::Route => None,
+        }
+    }
+
+    /// Notes the service of a route whose entry an older release has written.
+    fn on_route(&mut self, mut seen: Base, value: Option<Value>) -> CommitStep {
+        let Some(id) = self.unresolved(&seen.head).map(|entry| entry.id.clone()) else {
+            return self.resolve(seen);
+        };
+        let text = value.map(|value| String::from_utf8_lossy(&value.bytes).into_owned());
+        match Record::from_json(&text.unwrap_or_default()) {
+            Ok(Record::Route(route)) => seen.head.set_service(&id, route.service),
+            Ok(Record::Service(_)) | Err(_) => {
+                let detail = format!("the body of {id} cannot be read");
+                return CommitStep::Done(Err(Error::new(Kind::BadRecord, detail)));
+            }
+        }
+        self.resolve(seen)
+    }
+
     /// Answers an operation that the head names already.
     fn repeated(&self, operation: &Operation) -> Result<Committed> {
         if !operation.is_of(&self.change) {
@@ -386,16 +451,19 @@
 ///
 /// # Errors
 ///
-/// Returns [`Kind::Conflict`], [`Kind::UnknownRecord`], [`Kind::HeadTooLarge`],
+/// Returns [`Kind::Conflict`], [`Kind::UnknownRecord`],
+/// [`Kind::UnknownService`], [`Kind::ServiceInUse`], [`Kind::HeadTooLarge`],
 /// [`Kind::KeyReused`], [`Kind::StoreReverted`] or [`Kind::StoreDown`] if
 /// nothing was changed, [`Kind::StoreUnknown`] if that is not known.
 pub async fn commit<P: Platform>(platform: &P, mut commit: Commit) -> Result<Committed> {
     let mut step = commit.start();
     loop {
         let event = match step {
-            CommitStep::ReadHead => {
-                sleep(LOOK_PAUSE * (commit.looks - 1)).await;
-                CommitEvent::Read(platform.get(HEAD_KEY).await)
+            CommitStep::Read { key } => {
+                if key == HEAD_KEY {
+                    sleep(LOOK_PAUSE * (commit.looks - 1)).await;
+                }
+                CommitEvent::Read(platform.get(&key).await)
             }
             CommitStep::Write {
                 key,
@@ -408,6 +476,14 @@
     }
 }
 
+fn named_body(record: &Record, body: &Body) -> NamedBody {
+    NamedBody {
+        id: record.id(),
+        key: body.key.clone(),
+        service: record.named_service().cloned(),
+    }
+}
+
 fn body_key(record: &Record, body: &str) -> String {
     let id = record.id();
     format!(
--- a/crates/process/store/tests/commit.rs
+++ b/crates/process/store/tests/commit.rs
@@ -3,8 +3,8 @@
 use {
     fakes::memory::MemoryStore,
     kind::{Kind, Ran, Result},
-    record::{Change, Head, Precondition, RawRecord, RecordId, Stamp, MAX_OPERATIONS},
-    store::{Commit, CommitEvent, CommitStep, Committed, Expected, Fault, HEAD_KEY},
+    record::{Change, Head, Precondition, RawRecord, RecordId, RecordKind, Stamp, MAX_OPERATIONS},
+    store::{Body, Commit, CommitEvent, CommitStep, Committed, Expected, Fault, HEAD_KEY},
 };
 
 /// What happens to one step.
@@ -23,16 +23,48 @@
     }
 }
 
-fn raw(name: &str, deadline_ms: u64) -> RawRecord {
-    RawRecord::from_json(&format!(
-        r#"{{"schema_version":2,"name":"{name}","version":1,"route":{{"service":"s",
-        "repeatable":true,"default_deadline_ms":{deadline_ms},"max_deadline_ms":9000}}}}"#
-    ))
-    .expect("a valid value")
+/// Returns the text of a service record; it stands alone, as a route does not.
+fn service(name: &str, version: u32, slots: u64) -> String {
+    format!(
+        r#"{{"schema_version":2,"name":"{name}","version":{version},"service":{{
+        "connection_limit":25,"slots":{slots},"indexes":[{{"version":1,"shards":[
+        {{"id":0,"servers":[{{"addr":"127.0.0.1:9","zone":"z"}}]}}]}}]}}}}"#
+    )
 }
 
-fn put(name: &str, deadline_ms: u64, operation_id: &str) -> Commit {
-    Commit::put(&raw(name, deadline_ms), stamp(operation_id)).expect("a valid value")
+fn route(name: &str, service: &str) -> String {
+    format!(
+        r#"{{"schema_version":2,"name":"{name}","version":1,"route":{{"service":"{service}",
+        "repeatable":true,"default_deadline_ms":5,"max_deadline_ms":9000}}}}"#
+    )
+}
+
+fn put_text(text: &str, operation_id: &str) -> Commit {
+    let raw = RawRecord::from_json(text).expect("a valid value");
+    Commit::put(&raw, stamp(operation_id)).expect("a valid value")
+}
+
+fn put(name: &str, slots: u64, operation_id: &str) -> Commit {
+    put_text(&service(name, 1, slots), operation_id)
+}
+
+fn retire(kind: RecordKind, name: &str, version: u32, operation_id: &str) -> Commit {
+    let id = RecordId {
+        kind,
+        name: name.to_owned(),
+        version,
+    };
+    Commit::new(Change::Retire { id }, stamp(operation_id))
+}
+
+/// Returns the commit that brings the body of `revision` into force again.
+fn roll_back(store: &MemoryStore, revision: u64, operation_id: &str) -> Commit {
+    let operations = head(store).operations;
+    let made = operations.iter().find(|o| o.revision == revision);
+    let key = made.and_then(|o| o.body_key.clone()).expect("a body");
+    let text = store.get(&key).expect("a valid value").bytes;
+    let text = String::from_utf8_lossy(&text).into_owned();
+    Commit::roll_back(&Body { key, text }, stamp(operation_id)).expect("a valid value")
 }
 
 fn answer(store: &mut MemoryStore, step: &CommitStep, fate: Fate) -> CommitEvent {
@@ -42,8 +74,8 @@
         Fate::Down => Some(Fault::Unreachable("down".to_owned())),
     };
     match step {
-        CommitStep::ReadHead => {
-            CommitEvent::Read(fault.map_or_else(|| Ok(store.get(HEAD_KEY)), Err))
+        CommitStep::Read { key } => {
+            CommitEvent::Read(fault.map_or_else(|| Ok(store.get(key)), Err))
         }
         CommitStep::Write {
             key,
@@ -244,7 +276,7 @@
     assert!(
         error
             .detail()
-            .starts_with("operator of bob made revision 1: put of route a/1"),
+            .starts_with("operator of bob made revision 1: put of service a/1"),
         "{error}"
     );
     assert_eq!(head(&store).operation_id, "bob");
@@ -282,11 +314,8 @@
     run(&mut store, put("a", 1, "ada"), &[]).unwrap();
     let first = head(&store).entries[0].clone();
     run(&mut store, put("a", 2, "bob"), &[]).unwrap();
-    let change = Change::RollBack {
-        id: first.id.clone(),
-        body_key: first.body_key.clone(),
-    };
-    let committed = run(&mut store, Commit::new(change, stamp("cyd")), &[]).unwrap();
+    let commit = roll_back(&store, 1, "cyd");
+    let committed = run(&mut store, commit, &[]).unwrap();
     assert_eq!(committed.revision, 3);
     let entry = &head(&store).entries[0];
     assert_eq!((&entry.body_key, entry.revision), (&first.body_key, 3));
@@ -338,12 +367,7 @@
 
 #[test]
 fn a_record_that_is_not_in_force_cannot_be_retired() {
-    let id = RecordId {
-        kind: record::RecordKind::Route,
-        name: "a".to_owned(),
-        version: 1,
-    };
-    let commit = Commit::new(Change::Retire { id }, stamp("op"));
+    let commit = retire(RecordKind::Route, "a", 1, "op");
     let error = run(&mut MemoryStore::default(), commit, &[]).unwrap_err();
     assert_eq!(error.kind(), Kind::UnknownRecord);
 }
@@ -374,3 +398,85 @@
     };
     assert_eq!(result.unwrap_err().kind(), Kind::StoreUnknown);
 }
+
+/// Returns a store with the services s/1 and s/2, and the route r/1 on top of them.
+fn store_in_use() -> MemoryStore {
+    let mut store = MemoryStore::default();
+    for (i, text) in [service("s", 1, 1), service("s", 2, 1), route("r", "s")]
+        .iter()
+        .enumerate()
+    {
+        run(&mut store, put_text(text, &format!("op-{i}")), &[]).expect("a valid value");
+    }
+    store
+}
+
+fn refused(store: &mut MemoryStore, commit: Commit, kind: Kind, detail: &str) {
+    let before = store.clone();
+    let error = run(store, commit, &[]).expect_err(detail);
+    assert_eq!((error.kind(), error.ran()), (kind, Ran::No), "{error}");
+    assert!(error.detail().contains(detail), "{error}");
+    assert_eq!(*store, before, "something was written: {error}");
+}
+
+#[test]
+fn no_change_leaves_a_route_without_a_service() {
+    let (mut store, on) = (store_in_use(), RecordKind::Service);
+    let unknown = put_text(&route("r", "t"), "a");
+    refused(&mut store, unknown, Kind::UnknownService, "names 't'");
+    // An older version of the service takes over.
+    run(&mut store, retire(on, "s", 2, "b"), &[]).unwrap();
+    let last = retire(on, "s", 1, "c");
+    refused(&mut store, last, Kind::ServiceInUse, "used by route r/1;");
+    run(&mut store, retire(RecordKind::Route, "r", 1, "d"), &[]).unwrap();
+    run(&mut store, retire(on, "s", 1, "e"), &[]).unwrap();
+    let hole = roll_back(&store, 3, "f");
+    refused(&mut store, hole, Kind::UnknownService, "names 's'");
+    for (revision, operation_id) in [(1, "g"), (3, "h")] {
+        let commit = roll_back(&store, revision, operation_id);
+        run(&mut store, commit, &[]).unwrap();
+    }
+}
+
+#[test]
+fn a_race_leaves_no_route_without_a_service() {
+    let retire_last = || retire(RecordKind::Service, "s", 1, "ada");
+    let put_route = || put_text(&route("q", "s"), "bob");
+    let start = || {
+        let mut store = MemoryStore::default();
+        run(&mut store, put("s", 1, "first"), &[]).unwrap();
+        store
+    };
+    let lost = race(&mut start(), retire_last(), put_route()).unwrap_err();
+    assert_eq!(lost.kind(), Kind::ServiceInUse, "{lost}");
+    let lost = race(&mut start(), put_route(), retire_last()).unwrap_err();
+    assert_eq!(lost.kind(), Kind::UnknownService, "{lost}");
+}
+
+#[test]
+fn a_route_written_by_an_older_release_still_holds_its_service() {
+    let mut store = store_in_use();
+    let mut old = head(&store);
+    old.entries
+        .iter_mut()
+        .for_each(|entry| entry.service = None);
+    store.overwrite(HEAD_KEY, old.to_json().into());
+    run(&mut store, retire(RecordKind::Service, "s", 2, "a"), &[]).unwrap();
+    assert_eq!(head(&store).entries[0].service.as_deref(), Some("s"));
+    store.overwrite(HEAD_KEY, old.to_json().into());
+    run(&mut store, put("t", 1, "b"), &[]).unwrap();
+    run(&mut store, retire(RecordKind::Service, "s", 2, "c"), &[]).unwrap();
+    let last = retire(RecordKind::Service, "s", 1, "d");
+    refused(&mut store, last, Kind::ServiceInUse, "used by route r/1;");
+}
+
+#[test]
+fn a_refusal_of_a_repeat_does_not_say_that_nothing_ran() {
+    let mut store = store_in_use();
+    let commit = put_text(&route("r", "t"), "op").as_repeat();
+    let error = run(&mut store, commit, &[]).unwrap_err();
+    assert_eq!(
+        (error.kind(), error.ran()),
+        (Kind::UnknownService, Ran::Unknown)
+    );
+}
--- a/crates/test/model/src/commit.rs
+++ b/crates/test/model/src/commit.rs
@@ -11,8 +11,8 @@
     fakes::memory::MemoryStore,
     kind::{Kind, Result},
     record::{
-        judge, Change, Head, OperationId, Precondition, RecordId, RecordKind, Revision, Source,
-        Stamp, Verdict,
+        judge, Change, Head, NamedBody, OperationId, Precondition, RecordId, RecordKind, Revision,
+        Source, Stamp, Verdict,
     },
     std::sync::Arc,
     store::{Body, Commit, CommitEvent, CommitStep, Committed, Expected, Fault, HEAD_KEY},
@@ -54,7 +54,7 @@
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Call {
-    Read,
+    Read(String),
     Write(Write),
 }
 
@@ -248,8 +248,8 @@
         };
         let down = || Fault::Unreachable("down".to_owned());
         match call {
-            Call::Read => {
-                let found = state.store.get(HEAD_KEY);
+            Call::Read(key) => {
+                let found = state.store.get(key);
                 advance(state.clone(), "reads", CommitEvent::Read(Ok(found)));
                 if let Some(next) = with_fault(state) {
                     let event = CommitEvent::Read(Err(down()));
@@ -394,7 +394,7 @@
 
 fn take_step(operator: &mut Operator, commit: Commit, step: CommitStep) {
     let call = match step {
-        CommitStep::ReadHead => Call::Read,
+        CommitStep::Read { key } => Call::Read(key),
         CommitStep::Write {
             key,
             expected,
@@ -438,10 +438,11 @@
 }
 
 fn change(i: usize) -> Change {
-    Change::Put {
+    Change::Put(NamedBody {
         id: record_id(),
-        body_key: body_key(i),
-    }
+        key: body_key(i),
+        service: None,
+    })
 }
 
 fn store_with_one_record() -> MemoryStore {
--- a/crates/version/record/src/head.rs
+++ b/crates/version/record/src/head.rs
@@ -7,7 +7,9 @@
 //! whether it committed, also after others have committed on top.
 
 use {
-    crate::{bad_field, Change, Operation, Precondition, RecordVersion, Revision, Stamp},
+    crate::{
+        bad_field, Change, NamedBody, Operation, Precondition, RecordVersion, Revision, Stamp,
+    },
     kind::{Error, Kind, Result},
     serde::{Deserialize, Serialize},
     std::fmt,
@@ -19,6 +21,9 @@
 /// Number of operations that the head names.
 pub const MAX_OPERATIONS: usize = 64;
 
+/// Most routes that a refused retirement names.
+const MAX_NAMED_USERS: usize = 10;
+
 /// Number of recoveries, rising with each.
 pub type Generation = u64;
 
@@ -70,6 +75,9 @@
     /// Revision of the head that brought this body into force.
     #[serde(default)]
     pub revision: Revision,
+    /// Service that a route uses; absent where an older release has written the entry.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
 }
 
 /// What tells one head from all others, also after the store was restored.
@@ -116,6 +124,13 @@
         self.entries.iter().find(|entry| entry.id == *id)
     }
 
+    /// Notes the service that a route uses.
+    pub fn set_service(&mut self, id: &RecordId, service: String) {
+        if let Some(entry) = self.entries.iter_mut().find(|entry| entry.id == *id) {
+            entry.service = Some(service);
+        }
+    }
+
     /// Returns the operation with an identifier, if it is among the last.
     pub fn operation(&self, operation_id: &str) -> Option<&Operation> {
         self.operations
@@ -170,7 +185,9 @@
     /// # Errors
     ///
     /// Returns [`Kind::UnknownRecord`] if the record to retire is not in
-    /// force, [`Kind::HeadTooLarge`] if the head would outgrow its limit.
+    /// force, [`Kind::UnknownService`] or [`Kind::ServiceInUse`] if a route
+    /// would be left without a service, [`Kind::HeadTooLarge`] if the head
+    /// would outgrow its limit.
     pub fn with_change(&self, change: &Change, stamp: &Stamp) -> Result<Self> {
         let revision = match change {
             Change::Recover { held } => self.revision.max(held.revision) + 1,
@@ -184,14 +201,19 @@
             _ => self.clone(),
         };
         match change {
-            Change::Put { id, body_key } | Change::RollBack { id, body_key } => {
+            Change::Put(body) | Change::RollBack(body) => {
+                next.check_service(body)?;
                 next.set_entry(HeadEntry {
-                    id: id.clone(),
-                    body_key: body_key.clone(),
+                    id: body.id.clone(),
+                    body_key: body.key.clone(),
                     revision,
+                    service: body.service.clone(),
                 });
             }
-            Change::Retire { id } => next.remove_entry(id)?,
+            Change::Retire { id } => {
+                next.remove_entry(id)?;
+                next.check_unused(id)?;
+            }
             Change::Recover { .. } => {}
         }
         next.revision = revision;
@@ -235,6 +257,53 @@
         Ok(())
     }
 
+    /// Checks that the service which a route names is in force.
+    fn check_service(&self, body: &NamedBody) -> Result<()> {
+        let Some(service) = &body.service else {
+            return Ok(());
+        };
+        if self.has_service(service) {
+            return Ok(());
+        }
+        Err(Error::new(
+            Kind::UnknownService,
+            format!(
+                "route.service: {} names '{service}', which is not in force; put its record first",
+                body.id
+            ),
+        ))
+    }
+
+    /// Checks that the retirement of `id` leaves no route without a service.
+    fn check_unused(&self, id: &RecordId) -> Result<()> {
+        if id.kind != RecordKind::Service || self.has_service(&id.name) {
+            return Ok(());
+        }
+        let is_user = |entry: &&HeadEntry| entry.service.as_ref() == Some(&id.name);
+        let users: Vec<_> = self.entries.iter().filter(is_user).collect();
+        if users.is_empty() {
+            return Ok(());
+        }
+        let named = users.iter().take(MAX_NAMED_USERS);
+        let mut names: Vec<_> = named.map(|entry| entry.id.to_string()).collect();
+        if users.len() > MAX_NAMED_USERS {
+            names.push(format!("{} more", users.len() - MAX_NAMED_USERS));
+        }
+        Err(Error::new(
+            Kind::ServiceInUse,
+            format!(
+                "{id} is the last version of a service that is used by {}; \
+                 retire these first, or put another version of the service",
+                names.join(", ")
+            ),
+        ))
+    }
+
+    fn has_service(&self, name: &str) -> bool {
+        let mut ids = self.entries.iter().map(|entry| &entry.id);
+        ids.any(|id| id.kind == RecordKind::Service && id.name == name)
+    }
+
     fn check_size(&self) -> Result<()> {
         let size_bytes = self.to_json().len();
         if size_bytes > MAX_HEAD_BYTES {
--- a/crates/version/record/src/lib.rs
+++ b/crates/version/record/src/lib.rs
@@ -29,7 +29,7 @@
     },
     in_force::InForce,
     limits::{MAX_RECORD_BYTES, MAX_SHARDS},
-    operation::{Action, Change, Operation, OperationId, Precondition, Stamp},
+    operation::{Action, Change, NamedBody, Operation, OperationId, Precondition, Stamp},
     rank::{ByRank, Rank},
     raw::{
         RawCoverage, RawFloors, RawHedge, RawIndex, RawRecord, RawRoute, RawServer, RawService,
@@ -79,6 +79,14 @@
         }
     }
 
+    /// Returns the service that the record names, if it is a route.
+    pub fn named_service(&self) -> Option<&String> {
+        match self {
+            Self::Route(route) => Some(&route.service),
+            Self::Service(_) => None,
+        }
+    }
+
     /// Returns the kind of the record.
     pub fn kind(&self) -> RecordKind {
         match self {
--- a/crates/version/record/src/operation.rs
+++ b/crates/version/record/src/operation.rs
@@ -9,28 +9,29 @@
 /// Identifier of an operation, chosen by whoever asks for it.
 pub type OperationId = String;
 
+/// A body that comes into force, as the head names it.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct NamedBody {
+    /// The record.
+    pub id: RecordId,
+    /// Key of the body.
+    pub key: String,
+    /// Service that the record names, if it is a route.
+    pub service: Option<String>,
+}
+
 /// A change of the head.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Change {
     /// Brings a body into force.
-    Put {
-        /// The record.
-        id: RecordId,
-        /// Key of its body.
-        body_key: String,
-    },
+    Put(NamedBody),
     /// Takes a record out of force.
     Retire {
         /// The record.
         id: RecordId,
     },
     /// Brings an earlier body into force again, at a new revision.
-    RollBack {
-        /// The record.
-        id: RecordId,
-        /// Key of the earlier body.
-        body_key: String,
-    },
+    RollBack(NamedBody),
     /// Brings a head that hosts hold into force again after the store has
     /// lost it. The generation rises, so that hosts which have adopted
     /// anything from the restored store take it as well.
@@ -44,23 +45,24 @@
     /// Returns the record that is changed; a recovery concerns them all.
     pub fn subject(&self) -> Option<&RecordId> {
         match self {
-            Self::Put { id, .. } | Self::Retire { id } | Self::RollBack { id, .. } => Some(id),
+            Self::Put(body) | Self::RollBack(body) => Some(&body.id),
+            Self::Retire { id } => Some(id),
             Self::Recover { .. } => None,
         }
     }
 
     fn action(&self) -> Action {
         match self {
-            Self::Put { .. } => Action::Put,
+            Self::Put(_) => Action::Put,
             Self::Retire { .. } => Action::Retire,
-            Self::RollBack { .. } => Action::RollBack,
+            Self::RollBack(_) => Action::RollBack,
             Self::Recover { .. } => Action::Recover,
         }
     }
 
     fn body_key(&self) -> Option<&String> {
         match self {
-            Self::Put { body_key, .. } | Self::RollBack { body_key, .. } => Some(body_key),
+            Self::Put(body) | Self::RollBack(body) => Some(&body.key),
             Self::Retire { .. } | Self::Recover { .. } => None,
         }
     }
--- a/crates/version/record/tests/adopt.rs
+++ b/crates/version/record/tests/adopt.rs
@@ -3,8 +3,8 @@
 use {
     kind::Kind,
     record::{
-        judge, Bundle, Change, Head, HeadId, InForce, Precondition, RecordId, RecordKind, Source,
-        Stamp, Verdict, WireBundle, MAX_HEAD_BYTES, MAX_OPERATIONS,
+        judge, Bundle, Change, Head, HeadId, InForce, NamedBody, Precondition, RecordId,
+        RecordKind, Source, Stamp, Verdict, WireBundle, MAX_HEAD_BYTES, MAX_OPERATIONS,
     },
     std::sync::Arc,
 };
@@ -18,10 +18,11 @@
 }
 
 fn put(head: &Head, operation_id: &str) -> Head {
-    let change = Change::Put {
+    let change = Change::Put(NamedBody {
         id: id("shortfall"),
-        body_key: format!("body-{operation_id}"),
-    };
+        key: format!("body-{operation_id}"),
+        service: None,
+    });
     head.with_change(&change, &stamp(operation_id))
         .expect("a valid value")
 }
@@ -160,10 +161,11 @@
 
 #[test]
 fn a_head_over_the_limit_has_its_own_kind() {
-    let change = Change::Put {
+    let change = Change::Put(NamedBody {
         id: id("shortfall"),
-        body_key: "k".repeat(MAX_HEAD_BYTES),
-    };
+        key: "k".repeat(MAX_HEAD_BYTES),
+        service: None,
+    });
     let error = Head::default()
         .with_change(&change, &stamp("a"))
         .unwrap_err();
