Test a full head over HTTP, and let it be made smaller

Cause: the size limit of the head was tested on the decision only. Over HTTP, with the head in the stand-in store filled by hand (a long operator name, so that every record in it stays valid), a put is refused with 507 and no write reaches the store. The same test showed a trap: a retirement adds an operation to the head, which may be larger than the entry that it removes, so the advice 'retire old versions' was itself refused at the limit.

Puts and rollbacks now leave 64,000 bytes free, which 64 of the largest operations fit in; retirements and recoveries may use them.

Ruled out: a hidden setting for the limit (a test of another program than the one that runs).

Failed first: without the reserve the put got 200 for 507; with one limit for every change the retirement got 'the head would take 936058 bytes, allowed are 936000'.

--- a/crates/bin/wharf/tests/records.rs
+++ b/crates/bin/wharf/tests/records.rs
@@ -225,6 +225,49 @@
     Ok(())
 }
 
+/// Fills the head in the store up to the limit for puts.
+async fn fill_head(path: &Path) -> Result<()> {
+    let key = "/v1/kv/wharf/head";
+    let held = path
+        .client
+        .send(Method::GET, path.platform_addr, key, &[], String::new())
+        .await?;
+    let mut head = record::Head::from_json(held.text.as_bytes())?;
+    let size_bytes = record::MAX_HEAD_BYTES - record::RESERVED_HEAD_BYTES;
+    let missing_bytes = size_bytes - head.to_json().len();
+    let operation = head.operations.first_mut().context("no operation")?;
+    operation.operator += &"x".repeat(missing_bytes);
+    let expected = held.headers["x-key-revision"].to_str()?;
+    let key = format!("{key}?expected={expected}");
+    let text = String::from_utf8(head.to_json())?;
+    let filled = path
+        .client
+        .send(Method::PUT, path.platform_addr, &key, &[], text)
+        .await?;
+    ensure!(filled.status.is_success(), "{}", filled.text);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_head_over_its_limit_is_refused_whole_and_can_be_made_smaller() -> Result<()> {
+    let path = start(1).await?;
+    fill_head(&path).await?;
+    let before = path.platform_calls().await?.puts;
+    let more = route(1_000).replace("version = 1", "version = 2");
+    let refused = put(&path, 0, &more, &[]).await?;
+    assert_eq!(refused.status.as_u16(), 507, "{}", refused.text);
+    assert_eq!(refused.json()["kind"], "head-too-large");
+    assert_eq!(refused.json()["ran"], "no");
+    assert_eq!(path.platform_calls().await?.puts, before);
+    let uri = "/v1/admin/records/shortfall/1";
+    // The operation takes more room than the entry that goes.
+    let operator = "o".repeat(64);
+    let headers = [("x-wharf-operator", operator.as_str())];
+    let retired = path.admin(0, Method::DELETE, uri, &headers, "").await?;
+    assert_eq!(retired.status, StatusCode::OK, "{}", retired.text);
+    path.wait_for_revision(3).await
+}
+
 struct BadCase {
     what: &'static str,
     headers: &'static [(&'static str, &'static str)],
--- a/crates/version/record/src/head.rs
+++ b/crates/version/record/src/head.rs
@@ -18,6 +18,13 @@
 /// Largest size of the head, in bytes. The platform's store holds values up to a megabyte.
 pub const MAX_HEAD_BYTES: usize = 1_000_000;
 
+/// Part of [`MAX_HEAD_BYTES`] that only retirements and recoveries may use, in bytes.
+///
+/// Without it a head at its limit could not even be made smaller, since a
+/// retirement adds an operation that may be larger than the entry it removes.
+/// [`MAX_OPERATIONS`] of the largest operations fit in.
+pub const RESERVED_HEAD_BYTES: usize = 64_000;
+
 /// Number of operations that the head names.
 pub const MAX_OPERATIONS: usize = 64;
 
@@ -222,7 +229,7 @@
             .push(Operation::new(change, stamp, revision));
         let surplus = next.operations.len().saturating_sub(MAX_OPERATIONS);
         next.operations.drain(..surplus);
-        next.check_size()?;
+        next.check_size(change)?;
         Ok(next)
     }
 
@@ -304,12 +311,19 @@
         ids.any(|id| id.kind == RecordKind::Service && id.name == name)
     }
 
-    fn check_size(&self) -> Result<()> {
+    fn check_size(&self, change: &Change) -> Result<()> {
+        let max_bytes = match change {
+            Change::Put(_) | Change::RollBack(_) => MAX_HEAD_BYTES - RESERVED_HEAD_BYTES,
+            Change::Retire { .. } | Change::Recover { .. } => MAX_HEAD_BYTES,
+        };
         let size_bytes = self.to_json().len();
-        if size_bytes > MAX_HEAD_BYTES {
+        if size_bytes > max_bytes {
             return Err(Error::new(
                 Kind::HeadTooLarge,
-                format!("{size_bytes} bytes, allowed are {MAX_HEAD_BYTES}; retire old versions"),
+                format!(
+                    "the head would take {size_bytes} bytes, allowed are {max_bytes}; \
+                     retire old versions"
+                ),
             ));
         }
         Ok(())
--- a/crates/version/record/src/lib.rs
+++ b/crates/version/record/src/lib.rs
@@ -22,6 +22,7 @@
     bundle::{Bundle, WireBundle},
     head::{
         Generation, Head, HeadEntry, HeadId, RecordId, RecordKind, MAX_HEAD_BYTES, MAX_OPERATIONS,
+        RESERVED_HEAD_BYTES,
     },
     id::{
         HostId, IndexVersion, RecordVersion, RegionId, Revision, ServerAddr, ShardId, TenantId,
