Find a repeated operation however many came since

Cause: an operation was known to have committed only while it stood among the last 64 of the head. A repeat after that committed a second time, and a lost reply that saw more than 64 others was told 'too many operations since'.

An operation that leaves the head is now also written under its identifier (`wharf/operation/ID`), before the commit that drops it. A commit that does not find its operation in the head reads that key; in neither place means not committed, as the order of the writes proves. The read is skipped while the head still names every operation. A repeated retirement or rollback whose record has left the history, too, is answered by the same key; if nothing is found its refusal says `ran: unknown`.

Ruled out: a search of the history (grows with the age of the repeat, and needs a bound beyond which nobody knows); a marker before the head is written (left behind by failed commits, and does not tell whether the head followed).

Cost: one read for each commit and one write more once the head names 64.

Failed first, on the code before: 'a_repeat_after_any_number_of_operations...' found is_repeat false for true (committed again).

Partial: while hosts of a release without these keys still commit, a repeat is known for 64 operations only, as before.

--- a/crates/bin/wharf/tests/records.rs
+++ b/crates/bin/wharf/tests/records.rs
@@ -97,6 +97,29 @@
     let repeated = path.admin(0, Method::DELETE, uri, &headers, "").await?;
     assert_eq!(repeated.json()["revision"], 3, "{}", repeated.text);
     assert_eq!(repeated.json()["is_repeat"], true);
+    // The same once the operation has left the head and the history that is read.
+    let key = "/v1/kv/wharf/operation/retire-1?expected=0";
+    edit_head(&path, |head| {
+        head.operations.retain(|o| o.operation_id == "retire-1");
+        Ok(())
+    })
+    .await?;
+    let listed = get(&path, 0, "/v1/admin/history").await?;
+    write_key(&path, key, listed.json()[0].to_string()).await?;
+    edit_head(&path, |head| {
+        head.operations.clear();
+        Ok(())
+    })
+    .await?;
+    let headers = [headers[0], ("x-wharf-repeat", "true")];
+    for (uri, status) in [(uri, 200), ("/v1/admin/records/other/1", 422)] {
+        let late = path.admin(0, Method::DELETE, uri, &headers, "").await?;
+        assert_eq!(late.status.as_u16(), status, "{}", late.text);
+    }
+    let headers = [("x-wharf-operation-id", "retire-2"), headers[1]];
+    let unknown = path.admin(0, Method::DELETE, uri, &headers, "").await?;
+    assert_eq!(unknown.json()["kind"], "unknown-record");
+    assert_eq!(unknown.json()["ran"], "unknown");
     Ok(())
 }
 
@@ -225,33 +248,42 @@
     Ok(())
 }
 
-/// Fills the head in the store up to the limit for puts.
-async fn fill_head(path: &Path) -> Result<()> {
+/// Changes the head in the store by hand.
+async fn edit_head(path: &Path, edit: impl FnOnce(&mut record::Head) -> Result<()>) -> Result<()> {
     let key = "/v1/kv/wharf/head";
     let held = path
         .client
         .send(Method::GET, path.platform_addr, key, &[], String::new())
         .await?;
     let mut head = record::Head::from_json(held.text.as_bytes())?;
-    let size_bytes = record::MAX_HEAD_BYTES - record::RESERVED_HEAD_BYTES;
-    let missing_bytes = size_bytes - head.to_json().len();
-    let operation = head.operations.first_mut().context("no operation")?;
-    operation.operator += &"x".repeat(missing_bytes);
+    edit(&mut head)?;
     let expected = held.headers["x-key-revision"].to_str()?;
-    let key = format!("{key}?expected={expected}");
     let text = String::from_utf8(head.to_json())?;
-    let filled = path
+    write_key(path, &format!("{key}?expected={expected}"), text).await
+}
+
+async fn write_key(path: &Path, uri: &str, text: String) -> Result<()> {
+    let written = path
         .client
-        .send(Method::PUT, path.platform_addr, &key, &[], text)
+        .send(Method::PUT, path.platform_addr, uri, &[], text)
         .await?;
-    ensure!(filled.status.is_success(), "{}", filled.text);
+    ensure!(written.status.is_success(), "{}", written.text);
+    Ok(())
+}
+
+/// Fills the head up to the limit for puts.
+fn fill(head: &mut record::Head) -> Result<()> {
+    let size_bytes = record::MAX_HEAD_BYTES - record::RESERVED_HEAD_BYTES;
+    let missing_bytes = size_bytes - head.to_json().len();
+    let operation = head.operations.first_mut().context("no operation")?;
+    operation.operator += &"x".repeat(missing_bytes);
     Ok(())
 }
 
 #[tokio::test]
 async fn a_head_over_its_limit_is_refused_whole_and_can_be_made_smaller() -> Result<()> {
     let path = start(1).await?;
-    fill_head(&path).await?;
+    edit_head(&path, fill).await?;
     let before = path.platform_calls().await?.puts;
     let more = route(1_000).replace("version = 1", "version = 2");
     let refused = put(&path, 0, &more, &[]).await?;
--- a/crates/process/host/src/admin/records.rs
+++ b/crates/process/host/src/admin/records.rs
@@ -14,17 +14,17 @@
         Json,
     },
     http::header,
-    kind::{Error, Kind, Result},
+    kind::{Error, Kind, Ran, Result},
     record::{
-        Change, Head, HeadEntry, HeadId, Operation, OperationId, RawRecord, RecordId, RecordKind,
-        RecordVersion, Revision, Stamp,
+        Action, Change, Head, HeadEntry, HeadId, Operation, OperationId, RawRecord, RecordId,
+        RecordKind, RecordVersion, Revision, Stamp,
     },
     serde::{Deserialize, Serialize},
     serde_json::value::RawValue,
     std::sync::Arc,
     store::{
-        body_key_at, commit, load_body, load_head, load_history, Body, Commit, Committed,
-        MAX_HISTORY,
+        body_key_at, commit, find_operation, load_body, load_head, load_history, Body, Commit,
+        Committed, MAX_HISTORY,
     },
 };
 
@@ -119,8 +119,15 @@
     Query(query): Query<KindQuery>,
     headers: HeaderMap,
 ) -> Result<Json<Accepted>, Problem> {
-    let id = known_id(&shared, &name, version, query.kind).await?;
-    let change = Commit::new(Change::Retire { id }, stamp(&headers)?);
+    let stamp = stamp(&headers)?;
+    let id = match known_id(&shared, &name, version, query.kind).await {
+        Ok(id) => id,
+        Err(error) => {
+            let wanted = Wanted::new(Action::Retire, &name, version);
+            return earlier(&shared, &headers, &stamp, &wanted, error).await;
+        }
+    };
+    let change = Commit::new(Change::Retire { id }, stamp);
     run(&shared, &headers, change).await
 }
 
@@ -131,13 +138,79 @@
     Query(query): Query<RollBackQuery>,
     headers: HeaderMap,
 ) -> Result<Json<Accepted>, Problem> {
-    let id = known_id(&shared, &name, version, query.kind).await?;
-    let key = body_key_at(&shared.platform, &id, query.to_revision).await?;
-    let text = load_body(&shared.platform, &key).await?.to_string();
-    let change = Commit::roll_back(&Body { key, text }, stamp(&headers)?)?;
+    let stamp = stamp(&headers)?;
+    let id = known_id(&shared, &name, version, query.kind).await;
+    let body = match id {
+        Ok(id) => body_at(&shared, &id, query.to_revision).await,
+        Err(error) => Err(error),
+    };
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => {
+            let wanted = Wanted::new(Action::RollBack, &name, version);
+            return earlier(&shared, &headers, &stamp, &wanted, error).await;
+        }
+    };
+    let change = Commit::roll_back(&body, stamp)?;
     run(&shared, &headers, change).await
 }
 
+async fn body_at(shared: &Shared, id: &RecordId, revision: Revision) -> Result<Body> {
+    let key = body_key_at(&shared.platform, id, revision).await?;
+    let text = load_body(&shared.platform, &key).await?.to_string();
+    Ok(Body { key, text })
+}
+
+/// A change of a record that is not found any more.
+struct Wanted<'a> {
+    action: Action,
+    name: &'a str,
+    version: RecordVersion,
+}
+
+impl<'a> Wanted<'a> {
+    fn new(action: Action, name: &'a str, version: RecordVersion) -> Self {
+        Self {
+            action,
+            name,
+            version,
+        }
+    }
+
+    fn is_done_by(&self, operation: &Operation) -> bool {
+        let subject = operation.subject.as_ref();
+        let is_subject = |id: &RecordId| id.name == self.name && id.version == self.version;
+        operation.action == self.action && subject.is_some_and(is_subject)
+    }
+}
+
+/// Answers a repeat whose record is not found any more by what the earlier call did.
+async fn earlier(
+    shared: &Shared,
+    headers: &HeaderMap,
+    stamp: &Stamp,
+    wanted: &Wanted<'_>,
+    error: Error,
+) -> Result<Json<Accepted>, Problem> {
+    if error.kind() != Kind::UnknownRecord || !is_repeat(headers) {
+        return Err(error.into());
+    }
+    let found = find_operation(&shared.platform, &stamp.operation_id).await?;
+    match found {
+        Some(operation) if !wanted.is_done_by(&operation) => Err(Problem(Error::new(
+            Kind::KeyReused,
+            format!("operation {} made another change", stamp.operation_id),
+        ))),
+        Some(operation) => Ok(Json(Accepted {
+            accepted: true,
+            revision: operation.revision,
+            operation_id: operation.operation_id,
+            is_repeat: true,
+        })),
+        None => Err(error.with_ran(Ran::Unknown).into()),
+    }
+}
+
 /// Gives the store back what this host holds in force.
 pub(crate) async fn recover(
     State(shared): State<Arc<Shared>>,
--- a/crates/process/store/src/commit.rs
+++ b/crates/process/store/src/commit.rs
@@ -4,13 +4,17 @@
 //! that fails stays without effect. The decisions are [`Commit`], plain state
 //! that is fed with the outcome of each call; [`commit`] carries its steps out.
 //!
-//! A lost reply is settled by reading back: the head names the last operations.
-//! While it still stands at the revision on which the lost write was based, the
+//! A lost reply is settled by reading back: the head names the last operations,
+//! and each operation that leaves it was written under a key of its identifier
+//! before. An operation that is in neither place has not been committed. While it still stands at the revision on which the lost write was based, the
 //! same write is repeated, since at most one of the two can take effect. Once
 //! it has moved on without the operation, the lost write can never take effect.
 
 use {
-    crate::{history_key, Expected, Fault, KeyRevision, Platform, Value, HEAD_KEY},
+    crate::{
+        history_key, operation_key, read_operation, Expected, Fault, KeyRevision, Platform, Value,
+        HEAD_KEY,
+    },
     bytes::Bytes,
     kind::{Error, Kind, Ran, Result},
     record::{
@@ -18,7 +22,7 @@
         RawRecord, Record, RecordKind, Revision, Source, Stamp, Verdict, MAX_OPERATIONS,
         MAX_RECORD_BYTES,
     },
-    std::{collections::VecDeque, time::Duration},
+    std::{collections::VecDeque, mem, time::Duration},
     tokio::time::sleep,
     xxhash_rust::xxh3::xxh3_128,
 };
@@ -82,6 +86,18 @@
     key_revision: Option<KeyRevision>,
 }
 
+/// What the read under way is for.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+enum Awaited {
+    /// The head.
+    #[default]
+    Head,
+    /// This operation, which may have left the head that was seen.
+    Operation(Base),
+    /// A route of the head that was seen.
+    Route(Base),
+}
+
 /// One commit, from its first look at the head to its end.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Commit {
@@ -91,8 +107,7 @@
     bodies: Vec<Body>,
     held: HeadId,
     base: Option<Base>,
-    /// Head that was read last, while a route of it is read.
-    seen: Option<Base>,
+    awaited: Awaited,
     pending: VecDeque<Body>,
     next: Option<Head>,
     looks: u32,
@@ -110,7 +125,7 @@
             bodies: Vec::new(),
             held: HeadId::default(),
             base: None,
-            seen: None,
+            awaited: Awaited::Head,
             pending: VecDeque::new(),
             next: None,
             looks: 0,
@@ -209,9 +224,10 @@
     /// Takes the outcome of the last step and returns the next one.
     pub fn on_event(&mut self, event: CommitEvent) -> CommitStep {
         match event {
-            CommitEvent::Read(Ok(value)) => match self.seen.take() {
-                Some(seen) => self.on_route(seen, value),
-                None => self.on_head(value),
+            CommitEvent::Read(Ok(value)) => match mem::take(&mut self.awaited) {
+                Awaited::Head => self.on_head(value),
+                Awaited::Operation(seen) => self.on_operation(seen, value),
+                Awaited::Route(seen) => self.on_route(seen, value),
             },
             CommitEvent::Read(Err(fault)) => self.fail(fault),
             CommitEvent::Written(written) if !self.pending.is_empty() => self.on_body(written),
@@ -266,17 +282,39 @@
         if self.is_unsettled && is_same_base {
             return self.write_head();
         }
-        if let Err(error) = self.settle(&head) {
-            return CommitStep::Done(Err(error));
+        let seen = Base { head, key_revision };
+        if seen.head.names_all_since(0) {
+            return self.on_absent(seen);
+        }
+        let key = operation_key(&self.stamp.operation_id);
+        self.awaited = Awaited::Operation(seen);
+        CommitStep::Read { key }
+    }
+
+    /// Takes what is known of this operation beside the head.
+    fn on_operation(&mut self, seen: Base, value: Option<Value>) -> CommitStep {
+        let Some(value) = value else {
+            return self.on_absent(seen);
+        };
+        CommitStep::Done(match read_operation(&value) {
+            Ok(operation) => self.repeated(&operation),
+            Err(error) => Err(error),
+        })
+    }
+
+    /// Goes on from a head on which this operation is not committed.
+    fn on_absent(&mut self, seen: Base) -> CommitStep {
+        match self.settle(&seen.head) {
+            Ok(()) => self.resolve(seen),
+            Err(error) => CommitStep::Done(Err(error)),
         }
-        self.resolve(Base { head, key_revision })
     }
 
     /// Reads the routes whose service must be known and is not; then plans.
     fn resolve(&mut self, seen: Base) -> CommitStep {
         if let Some(route) = self.unresolved(&seen.head) {
             let key = route.body_key.clone();
-            self.seen = Some(seen);
+            self.awaited = Awaited::Route(seen);
             return CommitStep::Read { key };
         }
         match self.plan(seen.head, seen.key_revision) {
@@ -338,15 +376,14 @@
         let Some(base) = self.base.as_ref().filter(|_| self.is_unsettled) else {
             return Ok(());
         };
-        let detail = if judge(&base.head.id(), head, Source::Store) != Verdict::Adopt {
-            "the store was restored meanwhile; see 'wharfctl recover'"
-        } else if !head.names_all_since(base.head.revision) {
-            "too many operations since; compare the record in force with yours"
-        } else {
-            self.is_unsettled = false;
-            return Ok(());
-        };
-        Err(Error::new(Kind::StoreUnknown, detail))
+        if judge(&base.head.id(), head, Source::Store) != Verdict::Adopt {
+            return Err(Error::new(
+                Kind::StoreUnknown,
+                "the store was restored meanwhile; see 'wharfctl recover'",
+            ));
+        }
+        self.is_unsettled = false;
+        Ok(())
     }
 
     /// Decides what to write on top of `head`.
@@ -377,13 +414,15 @@
         }
         self.next = Some(head.with_change(&self.change, &self.stamp)?);
         self.pending = self.bodies.iter().cloned().collect();
-        // The operation that leaves the head must be in the history before.
+        // What leaves the head must be in the history and known by its identifier before.
         if let Some(leaving) = head.operations.first() {
             if head.operations.len() >= MAX_OPERATIONS {
-                self.pending.push_front(Body {
-                    key: history_key(leaving.revision),
-                    text: serde_json::to_string(leaving).unwrap_or_default(),
-                });
+                let text = serde_json::to_string(leaving).unwrap_or_default();
+                let by_id = operation_key(&leaving.operation_id);
+                for key in [by_id, history_key(leaving.revision)] {
+                    let text = text.clone();
+                    self.pending.push_front(Body { key, text });
+                }
             }
         }
         self.base = Some(Base { head, key_revision });
--- a/crates/process/store/src/history.rs
+++ b/crates/process/store/src/history.rs
@@ -1,11 +1,12 @@
 //! The history of operations.
 //!
 //! The head names the last operations. An operation that leaves the head was
-//! written under an immutable key of its revision before, so that the history
-//! has no gaps. Readers bound how far back they go.
+//! written under two immutable keys before: one of its revision, so that the
+//! history has no gaps, and one of its identifier, so that a repeat finds it
+//! however many operations came since. Readers bound how far back they go.
 
 use {
-    crate::{load::unread, load_head, Platform},
+    crate::{load::unread, load_head, Platform, Value},
     kind::{Error, Kind, Result},
     record::{Operation, RecordId, Revision},
 };
@@ -18,6 +19,27 @@
     format!("wharf/history/{revision:020}")
 }
 
+/// Returns the key under which an operation that has left the head is found by its identifier.
+pub(crate) fn operation_key(operation_id: &str) -> String {
+    format!("wharf/operation/{operation_id}")
+}
+
+/// Finds a committed operation by its identifier.
+///
+/// # Errors
+///
+/// Returns [`Kind::StoreDown`] or [`Kind::BadRecord`].
+pub async fn find_operation<P: Platform>(
+    platform: &P,
+    operation_id: &str,
+) -> Result<Option<Operation>> {
+    let (head, _) = load_head(platform).await?;
+    if let Some(operation) = head.operation(operation_id) {
+        return Ok(Some(operation.clone()));
+    }
+    load_operation(platform, &operation_key(operation_id)).await
+}
+
 /// Reads the operations of the last `limit` revisions, the newest first.
 ///
 /// # Errors
@@ -32,7 +54,7 @@
     let mut revision = found.last().map_or(0, |oldest| oldest.revision);
     while revision > least + 1 {
         revision -= 1;
-        match load_operation(platform, revision).await? {
+        match load_operation(platform, &history_key(revision)).await? {
             Some(operation) => found.push(operation),
             // A recovery skips the revisions that the store had lost.
             None => continue,
@@ -65,15 +87,13 @@
         })
 }
 
-async fn load_operation<P: Platform>(
-    platform: &P,
-    revision: Revision,
-) -> Result<Option<Operation>> {
-    let value = platform.get(&history_key(revision)).await.map_err(unread)?;
-    value
-        .map(|v| {
-            serde_json::from_slice(&v.bytes)
-                .map_err(|e| Error::new(Kind::BadRecord, format!("history {revision}: {e}")))
-        })
-        .transpose()
+async fn load_operation<P: Platform>(platform: &P, key: &str) -> Result<Option<Operation>> {
+    let value = platform.get(key).await.map_err(unread)?;
+    value.as_ref().map(read_operation).transpose()
+}
+
+/// Reads an operation that has left the head.
+pub(crate) fn read_operation(value: &Value) -> Result<Operation> {
+    serde_json::from_slice(&value.bytes)
+        .map_err(|e| Error::new(Kind::BadRecord, format!("operation: {e}")))
 }
--- a/crates/process/store/src/lib.rs
+++ b/crates/process/store/src/lib.rs
@@ -17,10 +17,10 @@
         ClaimStep, Claimed, Claiming, Fingerprint, Outcome, Won, MAX_KEPT_ANSWER_BYTES,
     },
     commit::{commit, Body, Commit, CommitEvent, CommitStep, Committed},
-    history::{body_key_at, load_history, MAX_HISTORY},
+    history::{body_key_at, find_operation, load_history, MAX_HISTORY},
     http::HttpPlatform,
     load::{load_body, load_bundle, load_head, HEAD_KEY},
     platform::{Expected, Fault, KeyRevision, LeaseId, ListedHost, Platform, Role, Value},
 };
 
-use crate::history::history_key;
+use crate::history::{history_key, operation_key, read_operation};
--- a/crates/process/store/tests/commit.rs
+++ b/crates/process/store/tests/commit.rs
@@ -93,6 +93,17 @@
     }
 }
 
+/// Takes a commit to its end without faults.
+fn finish(store: &mut MemoryStore, mut commit: Commit, mut step: CommitStep) -> Result<Committed> {
+    loop {
+        if let CommitStep::Done(result) = step {
+            return result;
+        }
+        let event = answer(store, &step, Fate::Fine);
+        step = commit.on_event(event);
+    }
+}
+
 /// Runs a commit under the given fates, and without faults after them.
 fn run(store: &mut MemoryStore, mut commit: Commit, fates: &[Fate]) -> Result<Committed> {
     let mut step = commit.start();
@@ -480,3 +491,48 @@
         (Kind::UnknownService, Ran::Unknown)
     );
 }
+
+/// Commits other changes until the operations before have left the head.
+fn fill_operations(store: &mut MemoryStore) {
+    for i in 0..2 * MAX_OPERATIONS as u64 {
+        run(store, put("z", 1 + i, &format!("other-{i}")), &[]).expect("a valid value");
+    }
+}
+
+#[test]
+fn a_repeat_after_any_number_of_operations_never_commits_twice() {
+    for fate in [Fate::ReplyLost, Fate::RequestLost] {
+        // Repeated by the operator, who may or may not say that it is a repeat.
+        for is_told in [false, true] {
+            let mut store = MemoryStore::default();
+            let lost = run(
+                &mut store,
+                put("a", 1, "op"),
+                &fates(HEAD, &[fate, Fate::Down]),
+            );
+            assert_eq!(lost.unwrap_err().kind(), Kind::StoreUnknown);
+            fill_operations(&mut store);
+            let (has_run, before) = (fate == Fate::ReplyLost, head(&store));
+            let repeat = match is_told {
+                true => put("a", 1, "op").as_repeat(),
+                false => put("a", 1, "op"),
+            };
+            let repeated = run(&mut store, repeat, &[]).unwrap();
+            assert_eq!(repeated.is_repeat, has_run, "{fate:?}");
+            assert_eq!(repeated.revision == 1, has_run, "{fate:?}");
+            assert_eq!(head(&store) == before, has_run, "{fate:?}");
+            let other = run(&mut store, put("a", 2, "op"), &[]).unwrap_err();
+            assert_eq!(other.kind(), Kind::KeyReused, "{fate:?}");
+        }
+        // Settled within the commit that lost the reply.
+        let mut store = MemoryStore::default();
+        let mut commit = put("a", 1, "op");
+        let mut step = commit.start();
+        for fate in [Fate::Fine, Fate::Fine, fate] {
+            step = commit.on_event(answer(&mut store, &step, fate));
+        }
+        fill_operations(&mut store);
+        let settled = finish(&mut store, commit, step).unwrap();
+        assert_eq!(settled.revision == 1, fate == Fate::ReplyLost, "{fate:?}");
+    }
+}
