--- a/crates/process/store/src/commit.rs
+++ b/crates/process/store/src/commit.rs
@@ -4,20 +4,25 @@
 //! that fails stays without effect. The decisions are [`Commit`], plain state
 //! that is fed with the outcome of each call; [`commit`] carries its steps out.
 //!
-//! A lost reply is settled by reading back: the head names the last operations.
-//! While it still stands at the revision on which the lost write was based, the
+//! A lost reply is settled by reading back: the head names the last operations,
+//! and each operation that leaves it was written under a key of its identifier
+//! before. An operation that is in neither place has not been committed. While it still stands at the revision on which the lost write was based, the
 //! same write is repeated, since at most one of the two can take effect. Once
 //! it has moved on without the operation, the lost write can never take effect.
 
 use {
-    crate::{history_key, Expected, Fault, KeyRevision, Platform, Value, HEAD_KEY},
+    crate::{
+        history_key, operation_key, read_operation, Expected, Fault, KeyRevision, Platform, Value,
+        HEAD_KEY,
+    },
     bytes::Bytes,
     kind::{Error, Kind, Ran, Result},
     record::{
-        judge, Bundle, Change, Head, HeadId, Operation, Precondition, RawRecord, Record, Revision,
-        Source, Stamp, Verdict, MAX_OPERATIONS, MAX_RECORD_BYTES,
+        judge, Bundle, Change, Head, HeadEntry, HeadId, NamedBody, Operation, Precondition,
+        RawRecord, Record, RecordKind, Revision, Source, Stamp, Verdict, MAX_OPERATIONS,
+        MAX_RECORD_BYTES,
     },
-    std::{collections::VecDeque, time::Duration},
+    std::{collections::VecDeque, mem, time::Duration},
     tokio::time::sleep,
     xxhash_rust::xxh3::xxh3_128,
 };
@@ -48,8 +53,11 @@
 /// What a commit wants done next.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CommitStep {
-    /// Read the head.
-    ReadHead,
+    /// Read a key.
+    Read {
+        /// Key.
+        key: String,
+    },
     /// Write a key.
     Write {
         /// Key.
@@ -66,7 +74,7 @@
 /// What happened to a step.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CommitEvent {
-    /// The head was read.
+    /// A key was read.
     Read(Result<Option<Value>, Fault>),
     /// A key was written.
     Written(Result<KeyRevision, Fault>),
@@ -78,6 +86,18 @@
     key_revision: Option<KeyRevision>,
 }
 
+/// What the read under way is for.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+enum Awaited {
+    /// The head.
+    #[default]
+    Head,
+    /// This operation, which may have left the head that was seen.
+    Operation(Base),
+    /// A route of the head that was seen.
+    Route(Base),
+}
+
 /// One commit, from its first look at the head to its end.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Commit {
@@ -87,6 +107,7 @@
     bodies: Vec<Body>,
     held: HeadId,
     base: Option<Base>,
+    awaited: Awaited,
     pending: VecDeque<Body>,
     next: Option<Head>,
     looks: u32,
@@ -104,6 +125,7 @@
             bodies: Vec::new(),
             held: HeadId::default(),
             base: None,
+            awaited: Awaited::Head,
             pending: VecDeque::new(),
             next: None,
             looks: 0,
@@ -130,11 +152,20 @@
             key: body_key(&record, &text),
             text,
         };
-        let change = Change::Put {
-            id: record.id(),
-            body_key: body.key.clone(),
-        };
-        Ok(Self::new(change, stamp).with_bodies(vec![body]))
+        let named = named_body(&record, &body);
+        Ok(Self::new(Change::Put(named), stamp).with_bodies(vec![body]))
+    }
+
+    /// Creates the commit that brings an earlier body into force again.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::BadRecord`] if the body does not pass the checks of
+    /// this release.
+    pub fn roll_back(body: &Body, stamp: Stamp) -> Result<Self> {
+        let record = Record::from_json(&body.text)?;
+        let named = named_body(&record, body);
+        Ok(Self::new(Change::RollBack(named), stamp))
     }
 
     /// Creates the commit that gives the store back what a host holds.
@@ -193,7 +224,11 @@
     /// Takes the outcome of the last step and returns the next one.
     pub fn on_event(&mut self, event: CommitEvent) -> CommitStep {
         match event {
-            CommitEvent::Read(Ok(value)) => self.on_head(value),
+            CommitEvent::Read(Ok(value)) => match mem::take(&mut self.awaited) {
+                Awaited::Head => self.on_head(value),
+                Awaited::Operation(seen) => self.on_operation(seen, value),
+                Awaited::Route(seen) => self.on_route(seen, value),
+            },
             CommitEvent::Read(Err(fault)) => self.fail(fault),
             CommitEvent::Written(written) if !self.pending.is_empty() => self.on_body(written),
             CommitEvent::Written(written) => self.on_head_written(written),
@@ -203,7 +238,9 @@
     fn look(&mut self) -> CommitStep {
         self.looks += 1;
         if self.looks <= MAX_LOOKS {
-            return CommitStep::ReadHead;
+            return CommitStep::Read {
+                key: HEAD_KEY.to_owned(),
+            };
         }
         let detail = "the head changes all the time".to_owned();
         if self.is_unsettled {
@@ -245,15 +282,81 @@
         if self.is_unsettled && is_same_base {
             return self.write_head();
         }
-        if let Err(error) = self.settle(&head) {
-            return CommitStep::Done(Err(error));
+        let seen = Base { head, key_revision };
+        if seen.head.names_all_since(0) {
+            return self.on_absent(seen);
+        }
+        let key = operation_key(&self.stamp.operation_id);
+        self.awaited = Awaited::Operation(seen);
+        CommitStep::Read { key }
+    }
+
+    /// Takes what is known of this operation beside the head.
+    fn on_operation(&mut self, seen: Base, value: Option<Value>) -> CommitStep {
+        let Some(value) = value else {
+            return self.on_absent(seen);
+        };
+        CommitStep::Done(match read_operation(&value) {
+            Ok(operation) => self.repeated(&operation),
+            Err(error) => Err(error),
+        })
+    }
+
+    /// Goes on from a head on which this operation is not committed.
+    fn on_absent(&mut self, seen: Base) -> CommitStep {
+        match self.settle(&seen.head) {
+            Ok(()) => self.resolve(seen),
+            Err(error) => CommitStep::Done(Err(error)),
+        }
+    }
+
+    /// Reads the routes whose service must be known and is not; then plans.
+    fn resolve(&mut self, seen: Base) -> CommitStep {
+        if let Some(route) = self.unresolved(&seen.head) {
+            let key = route.body_key.clone();
+            self.awaited = Awaited::Route(seen);
+            return CommitStep::Read { key };
         }
-        match self.plan(head, key_revision) {
+        match self.plan(seen.head, seen.key_revision) {
             Ok(()) => self.write(),
+            // An earlier call under way may still find that nothing is in its way.
+            Err(error) if self.is_repeat && error.kind() != Kind::Conflict => {
+                CommitStep::Done(Err(error.with_ran(Ran::Unknown)))
+            }
             Err(error) => CommitStep::Done(Err(error)),
         }
     }
 
+    /// Returns a route whose service decides about a retirement and is not known.
+    fn unresolved<'a>(&self, head: &'a Head) -> Option<&'a HeadEntry> {
+        let retired = match &self.change {
+            Change::Retire { id } => id,
+            _ => return None,
+        };
+        let is_unresolved =
+            |entry: &&HeadEntry| entry.id.kind == RecordKind::Route && entry.service.is_none();
+        match retired.kind {
+            RecordKind::Service => head.entries.iter().find(is_unresolved),
+            RecordKind::Route => None,
+        }
+    }
+
+    /// Notes the service of a route whose entry an older release has written.
+    fn on_route(&mut self, mut seen: Base, value: Option<Value>) -> CommitStep {
+        let Some(id) = self.unresolved(&seen.head).map(|entry| entry.id.clone()) else {
+            return self.resolve(seen);
+        };
+        let text = value.map(|value| String::from_utf8_lossy(&value.bytes).into_owned());
+        match Record::from_json(&text.unwrap_or_default()) {
+            Ok(Record::Route(route)) => seen.head.set_service(&id, route.service),
+            Ok(Record::Service(_)) | Err(_) => {
+                let detail = format!("the body of {id} cannot be read");
+                return CommitStep::Done(Err(Error::new(Kind::BadRecord, detail)));
+            }
+        }
+        self.resolve(seen)
+    }
+
     /// Answers an operation that the head names already.
     fn repeated(&self, operation: &Operation) -> Result<Committed> {
         if !operation.is_of(&self.change) {
@@ -273,15 +376,14 @@
         let Some(base) = self.base.as_ref().filter(|_| self.is_unsettled) else {
             return Ok(());
         };
-        let detail = if judge(&base.head.id(), head, Source::Store) != Verdict::Adopt {
-            "the store was restored meanwhile; see 'wharfctl recover'"
-        } else if !head.names_all_since(base.head.revision) {
-            "too many operations since; compare the record in force with yours"
-        } else {
-            self.is_unsettled = false;
-            return Ok(());
-        };
-        Err(Error::new(Kind::StoreUnknown, detail))
+        if judge(&base.head.id(), head, Source::Store) != Verdict::Adopt {
+            return Err(Error::new(
+                Kind::StoreUnknown,
+                "the store was restored meanwhile; see 'wharfctl recover'",
+            ));
+        }
+        self.is_unsettled = false;
+        Ok(())
     }
 
     /// Decides what to write on top of `head`.
@@ -312,13 +414,15 @@
         }
         self.next = Some(head.with_change(&self.change, &self.stamp)?);
         self.pending = self.bodies.iter().cloned().collect();
-        // The operation that leaves the head must be in the history before.
+        // What leaves the head must be in the history and known by its identifier before.
         if let Some(leaving) = head.operations.first() {
             if head.operations.len() >= MAX_OPERATIONS {
-                self.pending.push_front(Body {
-                    key: history_key(leaving.revision),
-                    text: serde_json::to_string(leaving).unwrap_or_default(),
-                });
+                let text = serde_json::to_string(leaving).unwrap_or_default();
+                let by_id = operation_key(&leaving.operation_id);
+                for key in [by_id, history_key(leaving.revision)] {
+                    let text = text.clone();
+                    self.pending.push_front(Body { key, text });
+                }
             }
         }
         self.base = Some(Base { head, key_revision });
@@ -386,16 +490,19 @@
 ///
 /// # Errors
 ///
-/// Returns [`Kind::Conflict`], [`Kind::UnknownRecord`], [`Kind::HeadTooLarge`],
+/// Returns [`Kind::Conflict`], [`Kind::UnknownRecord`],
+/// [`Kind::UnknownService`], [`Kind::ServiceInUse`], [`Kind::HeadTooLarge`],
 /// [`Kind::KeyReused`], [`Kind::StoreReverted`] or [`Kind::StoreDown`] if
 /// nothing was changed, [`Kind::StoreUnknown`] if that is not known.
 pub async fn commit<P: Platform>(platform: &P, mut commit: Commit) -> Result<Committed> {
     let mut step = commit.start();
     loop {
         let event = match step {
-            CommitStep::ReadHead => {
-                sleep(LOOK_PAUSE * (commit.looks - 1)).await;
-                CommitEvent::Read(platform.get(HEAD_KEY).await)
+            CommitStep::Read { key } => {
+                if key == HEAD_KEY {
+                    sleep(LOOK_PAUSE * (commit.looks - 1)).await;
+                }
+                CommitEvent::Read(platform.get(&key).await)
             }
             CommitStep::Write {
                 key,
@@ -408,6 +515,14 @@
     }
 }
 
+fn named_body(record: &Record, body: &Body) -> NamedBody {
+    NamedBody {
+        id: record.id(),
+        key: body.key.clone(),
+        service: record.named_service().cloned(),
+    }
+}
+
 fn body_key(record: &Record, body: &str) -> String {
     let id = record.id();
     format!(
