Share the door of a gate between the relay and the trials

The door stood twice: behind a lock and the machine's clock in the host, in cells and simulated time in the trials. One crate with a clock as its parameter serves both, so the trials now run what the relay runs.

Weighed: a module of admit. It would have brought tasks into a crate that is plain state.

--- a/crates/process/host/src/relay/gate/mod.rs
+++ b/crates/process/host/src/relay/gate/mod.rs
@@ -6,16 +6,15 @@
 //! its slots busy. Whatever ends a query gives its place back, the caller's
 //! going away included.
 
-mod door;
 mod in_turn;
 mod tally;
 
 pub(crate) use self::{in_turn::InTurn, tally::Tally};
 
 use {
-    self::door::{Door, Passer, Place},
     crate::shared::Shared,
     admit::{Bounds, Config, DelayAimd, Fixed, Gate},
+    door::{Door, Passer, Place, SystemClock},
     fleet::QueryCall,
     kind::{Error, Ran, Result},
     parking_lot::{Mutex, RwLock},
@@ -36,9 +35,9 @@
 pub(crate) struct Gates(RwLock<HashMap<String, Arc<ServiceGate>>>);
 
 struct ServiceGate {
-    door: Arc<Door<DelayAimd>>,
+    door: Arc<Door<DelayAimd, SystemClock>>,
     built_for: Mutex<BuiltFor>,
-    servers: Mutex<HashMap<ServerAddr, Arc<Door<Fixed>>>>,
+    servers: Mutex<HashMap<ServerAddr, Arc<Door<Fixed, SystemClock>>>>,
 }
 
 /// What floors, bounds and limits were computed for.
@@ -54,11 +53,11 @@
 pub(crate) struct Admitted {
     gate: Arc<ServiceGate>,
     passer: Passer,
-    place: Place<DelayAimd>,
+    place: Place<DelayAimd, SystemClock>,
 }
 
 /// A turn at a server, given back when dropped.
-pub(crate) type Turn = Place<Fixed>;
+pub(crate) type Turn = Place<Fixed, SystemClock>;
 
 /// Waits until the gate of `service` admits a query.
 ///
@@ -155,7 +154,7 @@
         let config = Config::default().floor_share(built_for.floor_share);
         let window = DelayAimd::new(bounds(service, relays));
         Self {
-            door: Arc::new(Door::new(Gate::new(config, window))),
+            door: Arc::new(Door::new(Gate::new(config, window), SystemClock)),
             built_for: Mutex::new(built_for),
             servers: Mutex::default(),
         }
@@ -176,7 +175,7 @@
         self.servers.lock().clear();
     }
 
-    fn server(&self, addr: ServerAddr) -> Arc<Door<Fixed>> {
+    fn server(&self, addr: ServerAddr) -> Arc<Door<Fixed, SystemClock>> {
         let built_for = *self.built_for.lock();
         let mut servers = self.servers.lock();
         let door = servers.entry(addr).or_insert_with(|| {
@@ -186,7 +185,7 @@
                 .reserve_share(CALL_RESERVE_SHARE)
                 .max_waiting(usize::MAX);
             let window = Fixed::new(built_for.calls_per_server);
-            Arc::new(Door::new(Gate::new(config, window)))
+            Arc::new(Door::new(Gate::new(config, window), SystemClock))
         });
         Arc::clone(door)
     }
--- a/crates/test/trial/src/clock.rs
+++ b/crates/test/trial/src/clock.rs
@@ -23,10 +23,6 @@
         }
     }
 
-    pub(crate) fn now(&self) -> Instant {
-        self.start + self.tokio_start.elapsed() / SCALE
-    }
-
     pub(crate) fn elapsed(&self) -> Duration {
         self.tokio_start.elapsed() / SCALE
     }
@@ -36,8 +32,14 @@
             tokio::time::sleep(time * SCALE).await;
         }
     }
+}
+
+impl door::Clock for Clock {
+    fn now(&self) -> Instant {
+        self.start + self.tokio_start.elapsed() / SCALE
+    }
 
-    pub(crate) async fn sleep_until(&self, until: Instant) {
+    async fn sleep_until(&self, until: Instant) {
         self.sleep(until.saturating_duration_since(self.now()))
             .await;
     }
--- a/crates/test/trial/src/lib.rs
+++ b/crates/test/trial/src/lib.rs
@@ -24,7 +24,6 @@
 
 mod clock;
 mod controller;
-mod door;
 mod load;
 mod pool;
 mod query;
--- a/crates/test/trial/src/query.rs
+++ b/crates/test/trial/src/query.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        door::Passer,
         relay::{LeafKind, Relay},
         service::position_of,
     },
     admit::{RefusalKind, Shown},
+    door::{Clock as _, Passer},
     futures::{
         future::{AbortHandle, Abortable},
         poll,
--- a/crates/test/trial/src/relay.rs
+++ b/crates/test/trial/src/relay.rs
@@ -4,12 +4,12 @@
     crate::{
         clock::Clock,
         controller::{AnyWindow, GateKind},
-        door::Door,
         pool::Pool,
         server::Server,
         trial::Trial,
     },
-    admit::{Config, Fixed},
+    admit::{Config, Fixed, Gate},
+    door::Door,
     plan::Group,
     record::Hedge,
     std::{rc::Rc, sync::Arc},
@@ -28,12 +28,12 @@
 /// What stands between a query and the connections.
 pub(crate) enum LeafKind {
     Direct,
-    Queued(Vec<Rc<Door<Fixed>>>),
+    Queued(Vec<Arc<Door<Fixed, Clock>>>),
 }
 
 /// One relay of the service.
 pub(crate) struct Relay {
-    pub(crate) door: Rc<Door<AnyWindow>>,
+    pub(crate) door: Arc<Door<AnyWindow, Clock>>,
     pub(crate) leaf: LeafKind,
     pub(crate) pools: Vec<Pool>,
     pub(crate) service: Arc<record::Service>,
@@ -61,7 +61,7 @@
         let pool =
             |server: &Rc<Server>| Pool::new(Rc::clone(server), limit, service.connect, clock);
         Self {
-            door: Rc::new(Door::new(config, window, clock)),
+            door: Arc::new(Door::new(Gate::new(config, window), clock)),
             leaf,
             pools: servers.iter().map(pool).collect(),
             service: Arc::new(service.record()),
@@ -73,7 +73,7 @@
     }
 }
 
-fn leaf_doors(trial: &Trial, clock: Clock) -> Vec<Rc<Door<Fixed>>> {
+fn leaf_doors(trial: &Trial, clock: Clock) -> Vec<Arc<Door<Fixed, Clock>>> {
     let service = &trial.service;
     let calls = f64::from(service.slots) * trial.leaf_calls_per_slot / trial.relays as f64;
     let window = calls.ceil() as usize;
@@ -82,6 +82,7 @@
         .reserve_share(LEAF_RESERVE_SHARE)
         .max_waiting(MAX_LEAF_WAITING);
     (0..service.server_count())
-        .map(|_| Rc::new(Door::new(config, Fixed::new(window), clock)))
+        .map(|_| Gate::new(config, Fixed::new(window)))
+        .map(|gate| Arc::new(Door::new(gate, clock)))
         .collect()
 }
--- a/crates/test/trial/src/run.rs
+++ b/crates/test/trial/src/run.rs
@@ -3,7 +3,6 @@
 use {
     crate::{
         clock::Clock,
-        door::Passer,
         query::{Outcome, Query},
         relay::Relay,
         report::Tally,
@@ -11,6 +10,7 @@
         trial::{RelayLoss, Trial},
         Report,
     },
+    door::{Clock as _, Passer},
     rand::{rngs::StdRng, Rng, SeedableRng},
     record::Rank,
     std::{cell::RefCell, rc::Rc, time::Duration},
@@ -79,7 +79,10 @@
 
     fn windows(&self) -> Vec<usize> {
         let relays = self.relays.borrow();
-        relays.iter().map(|relay| relay.door.window()).collect()
+        relays
+            .iter()
+            .map(|relay| relay.door.with_gate(|gate| gate.window()))
+            .collect()
     }
 
     /// Serves a query that reached the entry of `host`.
