--- /dev/null
+++ b/crates/test/fakes/src/upstream/mod.rs
@@ -0,0 +1,131 @@
+//! Stand-in for the upstream servers of one service.
+//!
+//! One process holds many servers, each with its own address, connection
+//! limit and execution slots. A server states the index version that it used,
+//! honours deadlines, stops when its caller goes away, sheds, drains, and
+//! counts how often it ran each request.
+
+mod behaviour;
+mod connection;
+mod seen;
+mod server;
+
+use {
+    self::server::{accept, Server},
+    axum::{
+        extract::{Path, State},
+        http::StatusCode,
+        routing::{get, put},
+        Json, Router,
+    },
+    parking_lot::Mutex,
+    std::{
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        sync::{atomic::Ordering, Arc},
+    },
+    tokio::{net::TcpListener, spawn},
+};
+
+pub use self::{behaviour::Behaviour, seen::Seen};
+
+/// The stand-in for all servers of one process.
+#[derive(Clone)]
+pub struct FakeUpstreams {
+    seen: Arc<Mutex<Seen>>,
+    servers: Arc<HashMap<SocketAddr, Arc<Server>>>,
+}
+
+impl FakeUpstreams {
+    /// Serves one server on each listener and returns the shared control.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a listener has no address.
+    pub fn spawn(listeners: Vec<TcpListener>, behaviour: &Behaviour) -> io::Result<Self> {
+        let mut servers = HashMap::new();
+        for (i, listener) in listeners.iter().enumerate() {
+            let addr = listener.local_addr()?;
+            servers.insert(
+                addr,
+                Arc::new(Server::new(addr, behaviour.clone(), i as u64)),
+            );
+        }
+        let all = Self {
+            seen: Arc::default(),
+            servers: Arc::new(servers),
+        };
+        for listener in listeners {
+            let server = Arc::clone(&all.servers[&listener.local_addr()?]);
+            spawn(accept(listener, server, all.clone()));
+        }
+        Ok(all)
+    }
+
+    /// Returns what the servers have seen.
+    pub fn seen(&self) -> Seen {
+        self.seen.lock().clone()
+    }
+
+    /// Changes the behaviour of one server.
+    pub fn set_behaviour(&self, addr: SocketAddr, behaviour: Behaviour) {
+        if let Some(server) = self.servers.get(&addr) {
+            *server.behaviour.lock() = behaviour;
+        }
+    }
+
+    /// Silences the connections that are open now; later ones work.
+    pub fn silence_open_connections(&self) {
+        for server in self.servers.values() {
+            let newest = server.newest_connection.load(Ordering::SeqCst);
+            server.silent_up_to.store(newest, Ordering::SeqCst);
+        }
+    }
+
+    /// Serves the control path on `listener` until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener fails.
+    pub async fn serve_control(self, listener: TcpListener) -> io::Result<()> {
+        let router = Router::new()
+            .route("/fake/seen", get(get_seen))
+            .route("/fake/silence", put(put_silence))
+            .route("/fake/behaviour", put(put_behaviour))
+            .route("/fake/behaviour/{addr}", put(put_one_behaviour))
+            .with_state(self);
+        axum::serve(listener, router).await
+    }
+}
+
+async fn get_seen(State(all): State<FakeUpstreams>) -> Json<Seen> {
+    Json(all.seen())
+}
+
+async fn put_silence(State(all): State<FakeUpstreams>) -> StatusCode {
+    all.silence_open_connections();
+    StatusCode::NO_CONTENT
+}
+
+async fn put_behaviour(
+    State(all): State<FakeUpstreams>,
+    Json(behaviour): Json<Behaviour>,
+) -> StatusCode {
+    for addr in all.servers.keys() {
+        all.set_behaviour(*addr, behaviour.clone());
+    }
+    StatusCode::NO_CONTENT
+}
+
+async fn put_one_behaviour(
+    State(all): State<FakeUpstreams>,
+    Path(addr): Path<SocketAddr>,
+    Json(behaviour): Json<Behaviour>,
+) -> StatusCode {
+    if !all.servers.contains_key(&addr) {
+        return StatusCode::NOT_FOUND;
+    }
+    all.set_behaviour(addr, behaviour);
+    StatusCode::NO_CONTENT
+}
