Try: count hedging capacity by the relays of the set

Cause: a query stops hedging once more calls are under way than the servers execute at once for one relay; the number of relays comes from the record, and counts as one where the record names none, though the set has more.

--- a/crates/request/plan/src/pin.rs
+++ b/crates/request/plan/src/pin.rs
@@ -55,10 +55,9 @@
     }
 
     /// Returns the number of calls that the servers of the index execute at
-    /// once for one relay.
-    pub(crate) fn capacity(&self) -> usize {
+    /// once for one of `relays`.
+    pub(crate) fn capacity(&self, relays: usize) -> usize {
         let servers: usize = self.index().shards.iter().map(|s| s.servers.len()).sum();
-        let relays = self.service.relays.unwrap_or(1).max(1) as usize;
-        (servers * self.service.slots as usize / relays).max(1)
+        (servers * self.service.slots as usize / relays.max(1)).max(1)
     }
 }
