--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -80,7 +80,6 @@
     let gather = Gather::new(request_id, pin, limits)
         .with_coverage(route.coverage)
         .with_hedge(route.hedge)
-        .with_relays(shared.relay_sets.of(shared, &service).planned)
         .with_group(group);
     let answer = run.drive(gather).await;
     let tally = run.tally;
--- a/crates/request/plan/src/gather.rs
+++ b/crates/request/plan/src/gather.rs
@@ -35,7 +35,6 @@
     coverage: Coverage,
     pub(crate) hedge: Hedge,
     pub(crate) group: Arc<Group>,
-    relays: usize,
     pub(crate) capacity: usize,
     early_at: Option<Instant>,
     pub(crate) next_hedge: Option<Instant>,
@@ -76,8 +75,7 @@
                 budget_share: 0.0,
             },
             group: Arc::default(),
-            relays: 1,
-            capacity: pin.capacity(1),
+            capacity: pin.capacity(),
             early_at: None,
             next_hedge: None,
             works: Vec::new(),
@@ -103,13 +101,6 @@
         self
     }
 
-    /// Sets the number of relays that share the servers, one by default.
-    pub fn with_relays(mut self, relays: usize) -> Self {
-        self.relays = relays;
-        self.capacity = self.pin.capacity(relays);
-        self
-    }
-
     /// Sets what the query shares with other queries of the service.
     pub fn with_group(mut self, group: Arc<Group>) -> Self {
         self.group = group;
@@ -377,7 +368,7 @@
         }
         if let Some(pin) = self.versions.next(&self.pin) {
             self.cancel_all(step);
-            self.capacity = pin.capacity(self.relays);
+            self.capacity = pin.capacity();
             self.pin = pin;
             self.call_all(Cause::Restart, step);
         }
--- a/crates/request/plan/src/pin.rs
+++ b/crates/request/plan/src/pin.rs
@@ -55,9 +55,10 @@
     }
 
     /// Returns the number of calls that the servers of the index execute at
-    /// once for one of `relays`.
-    pub(crate) fn capacity(&self, relays: usize) -> usize {
+    /// once for one relay.
+    pub(crate) fn capacity(&self) -> usize {
         let servers: usize = self.index().shards.iter().map(|s| s.servers.len()).sum();
-        (servers * self.service.slots as usize / relays.max(1)).max(1)
+        let relays = self.service.relays.unwrap_or(1).max(1) as usize;
+        (servers * self.service.slots as usize / relays).max(1)
     }
 }
--- a/crates/request/plan/tests/gather.rs
+++ b/crates/request/plan/tests/gather.rs
@@ -341,23 +341,3 @@
         }
     }
 }
-
-#[test]
-fn each_relay_hedges_within_its_share_of_the_servers() {
-    let start = Instant::now();
-    for (relays, hedges) in [(1, 1), (8, 0)] {
-        let group = trained_group(start);
-        let hedging = || {
-            let gather = gather(&service(1, &[(1, 1)]), start, true);
-            let gather = gather.with_group(Arc::clone(&group)).with_hedge(HEDGE);
-            gather.with_relays(relays)
-        };
-        // The server executes four calls at once, and more than one is under way.
-        let mut under_way: Vec<_> = (0..10).map(|_| hedging()).collect();
-        for query in &mut under_way {
-            query.start(&mut InOrder, start);
-        }
-        let actions = under_way[0].on_event(Event::Wake, &mut InOrder, start + ms(20));
-        assert_eq!(calls(&actions).len(), hedges, "{relays} relays");
-    }
-}
--- a/crates/test/trial/src/query.rs
+++ b/crates/test/trial/src/query.rs
@@ -126,7 +126,6 @@
         let pin = Pin::newest(&self.service).expect("the service has an index");
         let mut gather = Gather::new(query.request_id, pin, limits)
             .with_hedge(self.hedge)
-            .with_relays(self.relays)
             .with_group(Arc::clone(&self.group));
         let mut pick = LeastBusy {
             relay: self,
--- a/crates/test/trial/src/relay.rs
+++ b/crates/test/trial/src/relay.rs
@@ -38,8 +38,6 @@
     pub(crate) pools: Vec<Pool>,
     pub(crate) service: Arc<record::Service>,
     pub(crate) hedge: Hedge,
-    /// Number of relays of the service.
-    pub(crate) relays: usize,
     pub(crate) group: Arc<Group>,
     pub(crate) clock: Clock,
     pub(crate) is_lost: watch::Sender<bool>,
@@ -68,7 +66,6 @@
             pools: servers.iter().map(pool).collect(),
             service: Arc::new(service.record()),
             hedge: trial.hedge,
-            relays: trial.relays,
             group: Arc::default(),
             clock,
             is_lost: watch::Sender::new(false),
