Tell from the exchange where a change is in force

The exchange already counts which members hold a revision. The answer now comes from there; members that lag by its word are asked directly, at most 16 at once. The look for a newer host before a recovery takes the highest revision that the exchange has seen and asks 16 hosts at most.

Price: a host that froze after it took the change counts as in force, where it lagged before. It does hold the change.

--- a/crates/bin/wharfctl/src/change.rs
+++ b/crates/bin/wharfctl/src/change.rs
@@ -35,8 +35,6 @@
     method: Method,
     path: String,
     body: String,
-    /// Record that `--wait` waits for.
-    record: Option<(String, u32)>,
 }
 
 /// Commits every file.
@@ -61,7 +59,6 @@
             method: Method::PUT,
             path: format!("/v1/admin/records/{}/{}", raw.name, raw.version),
             body: raw.to_json(),
-            record: Some((raw.name.clone(), raw.version)),
         };
         run(&api, matches, change).await?;
     }
@@ -76,7 +73,6 @@
         method: Method::DELETE,
         path: target.path("", &[]),
         body: String::new(),
-        record: None,
     };
     run(&Api::new(matches)?, matches, change).await
 }
@@ -90,7 +86,6 @@
         method: Method::POST,
         path: target.path("/rollback", &[format!("to_revision={to}")]),
         body: String::new(),
-        record: Some((target.name.clone(), target.version)),
     };
     run(&Api::new(matches)?, matches, change).await
 }
@@ -102,7 +97,6 @@
         method: Method::POST,
         path: "/v1/admin/recover".to_owned(),
         body: String::new(),
-        record: None,
     };
     run(&Api::new(matches)?, matches, change).await
 }
@@ -141,7 +135,6 @@
 
 async fn run(api: &Api, matches: &ArgMatches, change: Change) -> Result<()> {
     let what = change.what.clone();
-    let record = change.record.clone();
     let text = send(api, matches, change)
         .await
         .with_context(|| what.clone())?;
@@ -167,7 +160,7 @@
         .context("--wait-timeout-ms")?;
     let timeout = Duration::from_millis(timeout_ms);
     let is_json = matches.get_flag("json");
-    in_force::wait(api, record, accepted.revision, timeout, is_json).await
+    in_force::wait(api, accepted.revision, timeout, is_json).await
 }
 
 async fn send(api: &Api, matches: &ArgMatches, change: Change) -> Result<String> {
--- a/crates/bin/wharfctl/src/in_force.rs
+++ b/crates/bin/wharfctl/src/in_force.rs
@@ -12,8 +12,13 @@
     tokio::time::sleep,
 };
 
-/// Pause between two looks.
-const LOOK_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after the first look; it doubles with each.
+const MIN_LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between two looks.
+const MAX_LOOK_PAUSE: Duration = Duration::from_secs(1);
+
+/// Most lagging hosts that a sentence names.
+const MAX_NAMED_HOSTS: usize = 20;
 
 /// Where a change is in force, as a host states it.
 #[derive(Deserialize)]
@@ -27,11 +32,22 @@
 struct Lagging {
     host: String,
     revision: Option<u64>,
+    /// Whether the host was asked directly; hosts of older releases ask them all.
+    #[serde(default = "yes")]
+    is_asked: bool,
+}
+
+fn yes() -> bool {
+    true
 }
 
 impl InForce {
     fn sentence(&self) -> String {
-        let lagging: Vec<_> = self.lagging.iter().map(Lagging::text).collect();
+        let named = self.lagging.iter().take(MAX_NAMED_HOSTS);
+        let mut lagging: Vec<_> = named.map(Lagging::text).collect();
+        if self.lagging.len() > MAX_NAMED_HOSTS {
+            lagging.push(format!("{} more", self.lagging.len() - MAX_NAMED_HOSTS));
+        }
         let lagging = match lagging.is_empty() {
             true => String::new(),
             false => format!(", lagging: {}", lagging.join(", ")),
@@ -47,7 +63,8 @@
     fn text(&self) -> String {
         match self.revision {
             Some(revision) => format!("{} (revision {revision})", self.host),
-            None => format!("{} (no answer)", self.host),
+            None if self.is_asked => format!("{} (no answer)", self.host),
+            None => format!("{} (not asked)", self.host),
         }
     }
 }
@@ -73,18 +90,11 @@
 /// # Errors
 ///
 /// Returns an error that names the lagging hosts once the time is over.
-pub(crate) async fn wait(
-    api: &Api,
-    record: Option<(String, u32)>,
-    revision: u64,
-    timeout: Duration,
-    is_json: bool,
-) -> Result<()> {
-    let path = match record {
-        Some((name, version)) => format!("/v1/admin/records/{name}/{version}/in-force"),
-        None => format!("/v1/admin/in-force?revision={revision}"),
-    };
+pub(crate) async fn wait(api: &Api, revision: u64, timeout: Duration, is_json: bool) -> Result<()> {
+    // By the revision, which asks nothing of the store.
+    let path = format!("/v1/admin/in-force?revision={revision}");
     let until = Instant::now() + timeout;
+    let mut pause = MIN_LOOK_PAUSE;
     loop {
         let text = api.send(&Call::get(path.clone())).await?.success()?;
         let in_force: InForce = serde_json::from_str(&text).with_context(|| text.clone())?;
@@ -98,6 +108,7 @@
         if Instant::now() >= until {
             bail!("accepted, but {}", in_force.sentence());
         }
-        sleep(LOOK_PAUSE).await;
+        sleep(pause).await;
+        pause = (pause * 2).min(MAX_LOOK_PAUSE);
     }
 }
--- a/crates/process/host/src/admin/in_force.rs
+++ b/crates/process/host/src/admin/in_force.rs
@@ -1,8 +1,10 @@
 //! Where an accepted change is in force.
 //!
-//! `accepted` is a fact of the store, `in force` one of each host. Every host
-//! of the membership is asked for what it holds, at once and with a bounded
-//! wait; a host that does not answer counts as lagging.
+//! `accepted` is a fact of the store, `in force` one of each host. The exchange
+//! between peers tells what the others hold, a round or two late. Members that
+//! lag by its word are therefore asked directly, at once and with a bounded
+//! wait, but no more than [`MAX_QUESTIONS`]: where more lag, the change is
+//! still on its way, and no answer of a few would settle that.
 
 use {
     crate::{entry::Problem, peer, shared::Shared},
@@ -10,6 +12,7 @@
         extract::{Path, Query, State},
         Json,
     },
+    fleet::Member,
     futures::future::join_all,
     kind::{Error, Kind, Result},
     record::{HeadEntry, HeadId, HostId, RecordVersion, Revision},
@@ -18,10 +21,21 @@
     store::load_head,
 };
 
+/// Most hosts that one request asks directly.
+pub const MAX_QUESTIONS: usize = 16;
+
 /// What one host holds in force, if it answered.
-pub(crate) struct View {
-    pub(crate) host: HostId,
-    pub(crate) head: Option<HeadId>,
+struct View {
+    host: HostId,
+    head: Option<HeadId>,
+}
+
+/// A host that holds a higher revision than this one.
+pub(crate) struct NewerHost {
+    /// Name or address of the host.
+    pub(crate) host: String,
+    /// Revision that it holds.
+    pub(crate) revision: Revision,
 }
 
 /// Where a record is in force.
@@ -45,6 +59,8 @@
     host: HostId,
     /// Revision that the host holds; absent if it did not answer.
     revision: Option<Revision>,
+    /// Whether the host was asked directly; else it lags by the word of its peers.
+    is_asked: bool,
 }
 
 /// States where the newest change of a record is in force.
@@ -74,7 +90,7 @@
         revision,
         is_from_store,
     };
-    Ok(Json(state(acceptance, ask_all(&shared).await)))
+    Ok(Json(state(&shared, acceptance).await))
 }
 
 /// Revision to look for.
@@ -92,37 +108,70 @@
         revision: query.revision,
         is_from_store: false,
     };
-    Json(state(acceptance, ask_all(&shared).await))
+    Json(state(&shared, acceptance).await)
 }
 
-fn state(accepted: Acceptance, views: Vec<View>) -> InForceStated {
-    let hosts = views.len();
-    let lagging: Vec<_> = views
+async fn state(shared: &Arc<Shared>, accepted: Acceptance) -> InForceStated {
+    let progress = shared.members.progress(accepted.revision);
+    let members = shared.members.all();
+    let lags = |member: &&Member| progress.lagging.contains(&member.id);
+    let views = ask(shared, members.iter().filter(lags)).await;
+    let lagging: Vec<_> = progress
+        .lagging
         .into_iter()
-        .map(|view| Lagging {
-            host: view.host,
-            revision: view.head.map(|head| head.revision),
+        .map(|host| {
+            let view = views.iter().find(|view| view.host == host);
+            let head = view.and_then(|view| view.head.as_ref());
+            Lagging {
+                revision: head.map(|head| head.revision),
+                is_asked: view.is_some(),
+                host,
+            }
         })
         .filter(|view| view.revision.is_none_or(|held| held < accepted.revision))
         .collect();
     InForceStated {
         accepted,
-        in_force_on: hosts - lagging.len(),
-        hosts,
+        in_force_on: progress.members - lagging.len(),
+        hosts: progress.members,
         lagging,
     }
 }
 
-/// Asks every host of the membership what it holds.
-pub(crate) async fn ask_all(shared: &Arc<Shared>) -> Vec<View> {
-    let members = shared.members.all();
-    let asked = members.iter().map(|member| async {
-        if member.id == shared.settings.member.id {
-            return View {
-                host: member.id.clone(),
-                head: Some(shared.in_force().head().id()),
-            };
-        }
+/// Finds a host that holds a higher revision than `revision`.
+pub(crate) async fn find_newer(shared: &Arc<Shared>, revision: Revision) -> Option<NewerHost> {
+    // The exchange tells of the highest revision, if a round or two late.
+    let told = *shared.members.newer().borrow();
+    let told = told.map(|newer| NewerHost {
+        host: newer.addr.to_string(),
+        revision: newer.revision,
+    });
+    let asked = ask(shared, shared.members.all().iter()).await;
+    let asked = asked.into_iter().filter_map(|view| {
+        Some(NewerHost {
+            host: view.host,
+            revision: view.head?.revision,
+        })
+    });
+    told.into_iter()
+        .chain(asked)
+        .filter(|newer| newer.revision > revision)
+        .max_by_key(|newer| newer.revision)
+}
+
+/// Asks some hosts what they hold, at once; no more than [`MAX_QUESTIONS`].
+async fn ask<'a>(shared: &Arc<Shared>, members: impl IntoIterator<Item = &'a Member>) -> Vec<View> {
+    let own_id = &shared.settings.member.id;
+    let (own, others): (Vec<_>, Vec<_>) = members.into_iter().partition(|m| m.id == *own_id);
+    let mut views: Vec<_> = own
+        .into_iter()
+        .map(|member| View {
+            host: member.id.clone(),
+            head: Some(shared.in_force().head().id()),
+        })
+        .collect();
+    let asked = others.into_iter().take(MAX_QUESTIONS).map(|member| async {
+        shared.metrics.on_event("in-force", "host-asked");
         // The highest revision asks for the head alone, without its records.
         let held = peer::held(shared, member.peer_addr, Revision::MAX).await;
         View {
@@ -130,5 +179,6 @@
             head: held.ok().map(|held| held.head),
         }
     });
-    join_all(asked).await
+    views.extend(join_all(asked).await);
+    views
 }
--- a/crates/process/host/src/admin/mod.rs
+++ b/crates/process/host/src/admin/mod.rs
@@ -6,6 +6,8 @@
 mod in_force;
 mod records;
 
+pub use crate::admin::in_force::MAX_QUESTIONS;
+
 use {
     crate::{
         entry::{serve_fallback, serve_method_fallback, Problem},
--- a/crates/process/host/src/admin/records.rs
+++ b/crates/process/host/src/admin/records.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        admin::headers::{head_tag, is_repeat, precondition, record_tag, stamp},
+        admin::{
+            headers::{head_tag, is_repeat, precondition, record_tag, stamp},
+            in_force::find_newer,
+        },
         config,
         entry::Problem,
         shared::Shared,
@@ -224,11 +227,12 @@
             "the store shows what this host holds, nothing is to be recovered",
         )));
     }
-    if let Some(peer) = newest_peer(&shared, held.revision()).await {
-        return Err(Problem(Error::new(
-            Kind::Conflict,
-            format!("host {} holds revision {}, recover there", peer.0, peer.1),
-        )));
+    if let Some(newer) = find_newer(&shared, held.revision()).await {
+        let detail = format!(
+            "host {} holds revision {}, recover there",
+            newer.host, newer.revision
+        );
+        return Err(Problem(Error::new(Kind::Conflict, detail)));
     }
     let change = Commit::recover(held.bundle(), stamp(&headers)?);
     run(&shared, &headers, change).await
@@ -308,16 +312,6 @@
     );
 }
 
-/// Finds the host that holds the highest revision above `revision`.
-async fn newest_peer(shared: &Arc<Shared>, revision: Revision) -> Option<(String, Revision)> {
-    let views = crate::admin::in_force::ask_all(shared).await;
-    views
-        .into_iter()
-        .filter_map(|view| Some((view.host, view.head?.revision)))
-        .filter(|(_, held)| *held > revision)
-        .max_by_key(|(_, held)| *held)
-}
-
 /// Tells the kind of a record, from what is in force or from its history.
 async fn known_id(
     shared: &Arc<Shared>,
--- a/crates/process/host/src/lib.rs
+++ b/crates/process/host/src/lib.rs
@@ -20,6 +20,7 @@
 mod shared;
 
 pub use crate::{
+    admin::MAX_QUESTIONS,
     config::MAX_LOOK_TIME,
     run::{run, RunningHost},
     settings::{RawSettings, Settings},
--- a/crates/process/host/tests/in_force.rs
+++ b/crates/process/host/tests/in_force.rs
@@ -1,4 +1,4 @@
-//! Eight hosts in one process, one of them cut off from the store.
+//! Many hosts in one process, one of them cut off from the store.
 
 use {
     anyhow::{ensure, Result},
@@ -13,7 +13,8 @@
     tokio::{net::TcpListener, spawn, time::sleep},
 };
 
-const HOSTS: usize = 8;
+/// More hosts than one request may ask directly.
+const HOSTS: usize = 24;
 const TOKEN: &str = "token-of-eight-hosts";
 /// Number of looks before the change counts as lost.
 const MAX_LOOKS: u32 = 300;
@@ -55,6 +56,16 @@
         .await
 }
 
+/// Returns how many hosts were asked directly what they hold.
+async fn questions(host: &RunningHost) -> Result<usize> {
+    let metrics = call(host.admin_addr, Method::GET, "/metrics", "").await?;
+    let is_wanted = |line: &&str| line.contains("host-asked") && line.contains("in-force");
+    let found = metrics.text.lines().find(is_wanted);
+    Ok(found
+        .and_then(|line| line.rsplit(' ').next())
+        .map_or(Ok(0), str::parse)?)
+}
+
 #[tokio::test]
 async fn a_host_whose_watch_is_cut_learns_of_a_change_from_its_peers() -> Result<()> {
     let (platform, addr) = start_platform().await?;
@@ -90,18 +101,37 @@
     ensure!(put.status.is_success(), "{}", put.text);
     let record = r#"{"schema_version":2,"name":"shortfall","version":1,"route":{"service":"s",
         "repeatable":true,"default_deadline_ms":5,"max_deadline_ms":9}}"#;
-    let path = "/v1/admin/records/shortfall/1";
-    let put = call(hosts[0].admin_addr, Method::PUT, path, record).await?;
+    let path = "/v1/admin/records/shortfall/1/in-force".to_owned();
+    let put_path = "/v1/admin/records/shortfall/1";
+    let put = call(hosts[0].admin_addr, Method::PUT, put_path, record).await?;
     ensure!(put.status.is_success(), "{}", put.text);
     for looks in 0..=MAX_LOOKS {
         ensure!(looks < MAX_LOOKS, "the change is not in force everywhere");
-        let path = format!("{path}/in-force");
         let stated = call(hosts[0].admin_addr, Method::GET, &path, "").await?;
         if stated.json()["in_force_on"] == HOSTS && stated.json()["hosts"] == HOSTS {
             break;
         }
         sleep(Duration::from_millis(50)).await;
     }
+    // Nothing lags, so that nobody is asked any more once the exchange has told so.
+    for looks in 0..=MAX_LOOKS {
+        ensure!(
+            looks < MAX_LOOKS,
+            "hosts are asked for what the exchange tells"
+        );
+        let before = questions(&hosts[0]).await?;
+        let stated = call(hosts[0].admin_addr, Method::GET, &path, "").await?;
+        ensure!(stated.json()["in_force_on"] == HOSTS, "{}", stated.text);
+        let asked = questions(&hosts[0]).await? - before;
+        ensure!(
+            asked <= host::MAX_QUESTIONS,
+            "{asked} hosts were asked at once"
+        );
+        if asked == 0 {
+            break;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
     // Every peer of the cut host has the change from the store, so that one
     // answered look is enough; the bound is counted, not clocked.
     ensure!(host::MAX_LOOK_TIME * LOOKS_IN_TIME <= Duration::from_secs(8));
