Keep a week of history, and remove what is older

Cause: every change left keys in the platform's store for good: its body, its operation by revision and, since lately, by identifier.

What leaves the head is now written with a lease of 7 days, and the body that an operation replaced is written again with the same lease when that operation leaves the head. A body key carries the operation that wrote it and comes into force once at most: a rollback or recovery writes the text under a key of its own, so no commit under way can name a body that expires. Hosts know a text by the hash in its key and do not read it again. `rollback --to` finds its revision directly, in place of walking back 256.

Not covered: bodies whose commit lost a race, bodies of older releases and of a branch that a recovery dropped stay behind, as before.

--- a/crates/bin/wharf/tests/records.rs
+++ b/crates/bin/wharf/tests/records.rs
@@ -248,6 +248,35 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn what_has_left_the_head_is_leased_and_still_known() -> Result<()> {
+    const CHANGES: u64 = 70;
+    let path = start(1).await?;
+    for i in 0..CHANGES {
+        let operation_id = format!("change-{i}");
+        let headers = [("x-wharf-operation-id", operation_id.as_str())];
+        let answer = put(&path, 0, &route(1_000 + i), &headers).await?;
+        ensure!(answer.status.is_success(), "{}", answer.text);
+    }
+    // Two records were put before.
+    let left = CHANGES + 2 - record::MAX_OPERATIONS as u64;
+    assert_eq!(path.platform_calls().await?.leases, left);
+    let headers = [("x-wharf-operation-id", "change-0")];
+    let repeated = put(&path, 0, &route(1_000), &headers).await?;
+    assert_eq!(repeated.json()["revision"], 3, "{}", repeated.text);
+    assert_eq!(repeated.json()["is_repeat"], true);
+    let rolled = wharfctl(
+        &path,
+        0,
+        &["rollback", "shortfall", "1", "--to", "2", "--wait"],
+    )?;
+    assert!(rolled.contains("accepted as revision 73"), "{rolled}");
+    let record = get(&path, 0, "/v1/admin/records/shortfall/1").await?;
+    let deadline_ms = &record.json()["record"]["route"]["default_deadline_ms"];
+    assert_eq!(*deadline_ms, 5_000);
+    Ok(())
+}
+
 /// Changes the head in the store by hand.
 async fn edit_head(path: &Path, edit: impl FnOnce(&mut record::Head) -> Result<()>) -> Result<()> {
     let key = "/v1/kv/wharf/head";
--- a/crates/process/host/src/admin/records.rs
+++ b/crates/process/host/src/admin/records.rs
@@ -26,8 +26,8 @@
     serde_json::value::RawValue,
     std::sync::Arc,
     store::{
-        body_key_at, commit, find_operation, load_body, load_head, load_history, Body, Commit,
-        Committed, MAX_HISTORY,
+        body_key_at, commit, find_operation, load_body, load_head, load_history, Commit, Committed,
+        MAX_HISTORY,
     },
 };
 
@@ -143,25 +143,24 @@
 ) -> Result<Json<Accepted>, Problem> {
     let stamp = stamp(&headers)?;
     let id = known_id(&shared, &name, version, query.kind).await;
-    let body = match id {
-        Ok(id) => body_at(&shared, &id, query.to_revision).await,
+    let text = match id {
+        Ok(id) => text_at(&shared, &id, query.to_revision).await,
         Err(error) => Err(error),
     };
-    let body = match body {
-        Ok(body) => body,
+    let text = match text {
+        Ok(text) => text,
         Err(error) => {
             let wanted = Wanted::new(Action::RollBack, &name, version);
             return earlier(&shared, &headers, &stamp, &wanted, error).await;
         }
     };
-    let change = Commit::roll_back(&body, stamp)?;
+    let change = Commit::roll_back(text, stamp)?;
     run(&shared, &headers, change).await
 }
 
-async fn body_at(shared: &Shared, id: &RecordId, revision: Revision) -> Result<Body> {
+async fn text_at(shared: &Shared, id: &RecordId, revision: Revision) -> Result<String> {
     let key = body_key_at(&shared.platform, id, revision).await?;
-    let text = load_body(&shared.platform, &key).await?.to_string();
-    Ok(Body { key, text })
+    Ok(load_body(&shared.platform, &key).await?.to_string())
 }
 
 /// A change of a record that is not found any more.
--- a/crates/process/store/src/history.rs
+++ b/crates/process/store/src/history.rs
@@ -74,6 +74,11 @@
     id: &RecordId,
     revision: Revision,
 ) -> Result<String> {
+    let direct = load_operation(platform, &history_key(revision)).await?;
+    let direct = direct.filter(|o| o.subject.as_ref() == Some(id));
+    if let Some(key) = direct.and_then(|operation| operation.body_key) {
+        return Ok(key);
+    }
     load_history(platform, MAX_HISTORY)
         .await?
         .into_iter()
--- a/crates/process/store/src/lib.rs
+++ b/crates/process/store/src/lib.rs
@@ -4,6 +4,7 @@
 //! what did not happen from what may have happened, because a lost reply is
 //! not a failed write.
 
+mod body;
 mod claim;
 mod commit;
 mod history;
@@ -12,11 +13,12 @@
 mod platform;
 
 pub use crate::{
+    body::Body,
     claim::{
         claim, fingerprint, record_outcome, Claim, ClaimAttemptId, ClaimEvent, ClaimScope,
         ClaimStep, Claimed, Claiming, Fingerprint, Outcome, Won, MAX_KEPT_ANSWER_BYTES,
     },
-    commit::{commit, Body, Commit, CommitEvent, CommitStep, Committed},
+    commit::{commit, Commit, CommitEvent, CommitStep, Committed, KEPT_FOR},
     history::{body_key_at, find_operation, load_history, MAX_HISTORY},
     http::HttpPlatform,
     load::{load_body, load_bundle, load_head, HEAD_KEY},
--- a/crates/process/store/src/load.rs
+++ b/crates/process/store/src/load.rs
@@ -1,10 +1,13 @@
 //! Reading the head and the bodies it names.
 
 use {
-    crate::{Fault, Platform, Value},
+    crate::{body::content_of, Fault, Platform, Value},
     kind::{Error, Kind, Result},
     record::{Bundle, Head},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
 };
 
 /// Key of the head.
@@ -42,14 +45,16 @@
 ///
 /// Returns [`Kind::StoreDown`], or [`Kind::BadRecord`] if a body is missing.
 pub async fn load_bundle<P: Platform>(platform: &P, head: Head, held: &Bundle) -> Result<Bundle> {
+    let texts = held.bodies.iter();
+    let texts: HashMap<_, _> = texts.map(|(key, text)| (content_of(key), text)).collect();
     let mut bodies = BTreeMap::new();
     for entry in &head.entries {
         let key = &entry.body_key;
         if bodies.contains_key(key) {
             continue;
         }
-        let text = match held.bodies.get(key) {
-            Some(text) => Arc::clone(text),
+        let text = match texts.get(content_of(key)) {
+            Some(text) => Arc::clone(*text),
             None => load_body(platform, key).await?,
         };
         bodies.insert(key.clone(), text);
--- a/crates/test/model/src/commit.rs
+++ b/crates/test/model/src/commit.rs
@@ -399,11 +399,14 @@
             key,
             expected,
             bytes,
+            ..
         } => Call::Write(Write {
             key,
             expected,
             bytes,
         }),
+        // No run is long enough for an operation to leave the head.
+        CommitStep::GrantLease { .. } => return,
         CommitStep::Done(result) => {
             operator.running = None;
             operator.told = Some(told(result));
--- a/crates/version/record/src/head.rs
+++ b/crates/version/record/src/head.rs
@@ -131,6 +131,11 @@
         self.entries.iter().find(|entry| entry.id == *id)
     }
 
+    /// Returns whether a body is in force.
+    pub fn names_body(&self, key: &str) -> bool {
+        self.entries.iter().any(|entry| entry.body_key == key)
+    }
+
     /// Notes the service that a route uses.
     pub fn set_service(&mut self, id: &RecordId, service: String) {
         if let Some(entry) = self.entries.iter_mut().find(|entry| entry.id == *id) {
@@ -226,7 +231,7 @@
         next.revision = revision;
         next.operation_id = stamp.operation_id.clone();
         next.operations
-            .push(Operation::new(change, stamp, revision));
+            .push(Operation::new(change, stamp, self, revision));
         let surplus = next.operations.len().saturating_sub(MAX_OPERATIONS);
         next.operations.drain(..surplus);
         next.check_size(change)?;
--- a/crates/version/record/src/operation.rs
+++ b/crates/version/record/src/operation.rs
@@ -129,12 +129,17 @@
     /// Key of the body that came into force.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub body_key: Option<String>,
+    /// Key of the body that went out of force.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub replaced: Option<String>,
 }
 
 impl Operation {
-    /// Creates the operation that commits `change` as `revision`.
-    pub fn new(change: &Change, stamp: &Stamp, revision: Revision) -> Self {
+    /// Creates the operation that commits `change` on top of `head` as `revision`.
+    pub fn new(change: &Change, stamp: &Stamp, head: &Head, revision: Revision) -> Self {
+        let entry = change.subject().and_then(|id| head.entry(id));
         Self {
+            replaced: entry.map(|entry| entry.body_key.clone()),
             revision,
             operation_id: stamp.operation_id.clone(),
             operator: stamp.operator.clone(),
