--- a/crates/process/host/src/admin/records.rs
+++ b/crates/process/host/src/admin/records.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        admin::headers::{head_tag, is_repeat, precondition, record_tag, stamp},
+        admin::{
+            headers::{head_tag, is_repeat, precondition, record_tag, stamp},
+            in_force::find_newer,
+        },
         config,
         entry::Problem,
         shared::Shared,
@@ -23,8 +26,8 @@
     serde_json::value::RawValue,
     std::sync::Arc,
     store::{
-        body_key_at, commit, find_operation, load_body, load_head, load_history, Body, Commit,
-        Committed, MAX_HISTORY,
+        body_key_at, commit, find_operation, load_body, load_head, load_history, Commit, Committed,
+        MAX_HISTORY,
     },
 };
 
@@ -140,25 +143,24 @@
 ) -> Result<Json<Accepted>, Problem> {
     let stamp = stamp(&headers)?;
     let id = known_id(&shared, &name, version, query.kind).await;
-    let body = match id {
-        Ok(id) => body_at(&shared, &id, query.to_revision).await,
+    let text = match id {
+        Ok(id) => text_at(&shared, &id, query.to_revision).await,
         Err(error) => Err(error),
     };
-    let body = match body {
-        Ok(body) => body,
+    let text = match text {
+        Ok(text) => text,
         Err(error) => {
             let wanted = Wanted::new(Action::RollBack, &name, version);
             return earlier(&shared, &headers, &stamp, &wanted, error).await;
         }
     };
-    let change = Commit::roll_back(&body, stamp)?;
+    let change = Commit::roll_back(text, stamp)?;
     run(&shared, &headers, change).await
 }
 
-async fn body_at(shared: &Shared, id: &RecordId, revision: Revision) -> Result<Body> {
+async fn text_at(shared: &Shared, id: &RecordId, revision: Revision) -> Result<String> {
     let key = body_key_at(&shared.platform, id, revision).await?;
-    let text = load_body(&shared.platform, &key).await?.to_string();
-    Ok(Body { key, text })
+    Ok(load_body(&shared.platform, &key).await?.to_string())
 }
 
 /// A change of a record that is not found any more.
@@ -224,11 +226,12 @@
             "the store shows what this host holds, nothing is to be recovered",
         )));
     }
-    if let Some(peer) = newest_peer(&shared, held.revision()).await {
-        return Err(Problem(Error::new(
-            Kind::Conflict,
-            format!("host {} holds revision {}, recover there", peer.0, peer.1),
-        )));
+    if let Some(newer) = find_newer(&shared, held.revision()).await {
+        let detail = format!(
+            "host {} holds revision {}, recover there",
+            newer.host, newer.revision
+        );
+        return Err(Problem(Error::new(Kind::Conflict, detail)));
     }
     let change = Commit::recover(held.bundle(), stamp(&headers)?);
     run(&shared, &headers, change).await
@@ -308,16 +311,6 @@
     );
 }
 
-/// Finds the host that holds the highest revision above `revision`.
-async fn newest_peer(shared: &Arc<Shared>, revision: Revision) -> Option<(String, Revision)> {
-    let views = crate::admin::in_force::ask_all(shared).await;
-    views
-        .into_iter()
-        .filter_map(|view| Some((view.host, view.head?.revision)))
-        .filter(|(_, held)| *held > revision)
-        .max_by_key(|(_, held)| *held)
-}
-
 /// Tells the kind of a record, from what is in force or from its history.
 async fn known_id(
     shared: &Arc<Shared>,
