Keep one replica of a shard in use when both look slow

The other replica of a slow server has all the load of its shard, so its calls queue and its mean passes four medians too. Both were then left out, which is the same as neither: first calls went to either.

The fastest of several slow servers now stays. Ruled out as the cause: the probe every 5 s (0.8 calls a second over four shards).

--- a/crates/request/plan/src/gather.rs
+++ b/crates/request/plan/src/gather.rs
@@ -199,13 +199,10 @@
     ) -> Option<ServerAddr> {
         let shard = &self.pin.index().shards[position];
         let tried = &self.works[position].tried;
-        let slow = shard
-            .servers
-            .iter()
-            .map(|server| server.addr)
-            .filter(|addr| !tried.contains(addr) && self.group.is_left_out(*addr, step.now));
+        let fresh = shard.servers.iter().map(|server| server.addr);
+        let fresh: Vec<_> = fresh.filter(|addr| !tried.contains(addr)).collect();
         let mut avoided = tried.clone();
-        avoided.extend(slow);
+        avoided.extend(self.group.left_out(&fresh, step.now));
         let picked = step.upstreams.pick(shard, &avoided, step.now)?;
         if avoided.len() > tried.len() && avoided.contains(&picked) {
             return step.upstreams.pick(shard, tried, step.now);
--- a/crates/request/plan/src/group.rs
+++ b/crates/request/plan/src/group.rs
@@ -146,9 +146,9 @@
         self.window.lock().quantile(quantile)
     }
 
-    /// Returns whether a server is much slower than its group and to be left out.
-    pub(crate) fn is_left_out(&self, server: ServerAddr, now: Instant) -> bool {
-        self.speeds.is_left_out(server, now)
+    /// Returns those of `servers` that are much slower than their group and to be left out.
+    pub(crate) fn left_out(&self, servers: &[ServerAddr], now: Instant) -> Vec<ServerAddr> {
+        self.speeds.left_out(servers, now)
     }
 
     /// Returns whether there is a recent sign of overload, or more calls are under way than `capacity`.
--- a/crates/request/plan/src/speed.rs
+++ b/crates/request/plan/src/speed.rs
@@ -68,10 +68,29 @@
         is_slow
     }
 
+    /// Returns those of `servers` that are to be left out, never all of several.
+    ///
+    /// The other replica of a slow server has all the load of its shard, so that
+    /// it looks slow itself. The faster one then stays.
+    pub(crate) fn left_out(&self, servers: &[ServerAddr], now: Instant) -> Vec<ServerAddr> {
+        let mut slow = servers.to_vec();
+        slow.retain(|server| self.is_left_out(*server, now));
+        if slow.len() > 1 && slow.len() == servers.len() {
+            slow.sort_by(|a, b| self.mean_s(*a).total_cmp(&self.mean_s(*b)));
+            slow.remove(0);
+        }
+        slow
+    }
+
+    fn mean_s(&self, server: ServerAddr) -> f64 {
+        let speeds = self.lock_of(server).lock();
+        speeds.get(&server).map_or(0.0, |speed| speed.mean_s)
+    }
+
     /// Returns whether a server is to be left out.
     ///
     /// Once in a while the answer is no for a single caller, who tries the server again.
-    pub(crate) fn is_left_out(&self, server: ServerAddr, now: Instant) -> bool {
+    fn is_left_out(&self, server: ServerAddr, now: Instant) -> bool {
         let mut speeds = self.lock_of(server).lock();
         let Some(speed) = speeds.get_mut(&server) else {
             return false;
