Count hedges that are overtaken in the speed of their server

Only hedges that won counted, and those are the fast ones: a slow server that is left out gets hedges only, two or three quick ones (weight 0.5 each) made it look sound, and first calls went there again. An overtaken call counts as its age plus the mean, which makes the mean of exponential times true, so hedges now count as other calls do.

--- a/crates/request/plan/src/gather.rs
+++ b/crates/request/plan/src/gather.rs
@@ -270,11 +270,11 @@
 
     fn cancel_overtaken<U: Upstreams>(&mut self, attempt_id: AttemptId, step: &mut Step<'_, U, R>) {
         if let Some(loser) = self.attempts.remove(&attempt_id) {
-            if !loser.is_hedge() {
-                let waited = step.upstreams.waited(attempt_id);
-                let age = loser.elapsed(step.now).saturating_sub(waited);
-                self.group.on_overtaken(loser.call.server, age, step.now);
-            }
+            // Hedges too: those that win are the fast ones, and counted alone
+            // they would make a slow server look sound.
+            let waited = step.upstreams.waited(attempt_id);
+            let age = loser.elapsed(step.now).saturating_sub(waited);
+            self.group.on_overtaken(loser.call.server, age, step.now);
             step.actions.push(Action::Cancel(attempt_id));
         }
     }
--- a/crates/request/plan/src/work.rs
+++ b/crates/request/plan/src/work.rs
@@ -1,7 +1,7 @@
 //! The work for one shard within a query.
 
 use {
-    crate::{AttemptId, Cause, LeafCall, Reason},
+    crate::{AttemptId, LeafCall, Reason},
     record::ServerAddr,
     std::time::{Duration, Instant},
 };
@@ -60,8 +60,4 @@
     pub(crate) fn elapsed(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.started_at)
     }
-
-    pub(crate) fn is_hedge(&self) -> bool {
-        self.call.cause == Cause::Hedge
-    }
 }
