--- a/crates/request/plan/src/speed.rs
+++ b/crates/request/plan/src/speed.rs
@@ -22,6 +22,8 @@
 const SLOW_WEIGHT: f64 = 0.5;
 /// Mean latency of a slow server, in medians of its group.
 const SLOW_RATIO: f64 = 4.0;
+/// Mean latency of a slow server up to which it is like the fastest of its shard, over that one's.
+const ALIKE_RATIO: f64 = 2.0;
 /// Number of latencies before a server is judged.
 const MIN_SAMPLES: u32 = 4;
 /// Time for which a slow server is left out before one call tries it again.
@@ -76,8 +78,9 @@
         let mut slow = servers.to_vec();
         slow.retain(|server| self.is_left_out(*server, now));
         if slow.len() > 1 && slow.len() == servers.len() {
-            slow.sort_by(|a, b| self.mean_s(*a).total_cmp(&self.mean_s(*b)));
-            slow.remove(0);
+            let means_s = slow.iter().map(|server| self.mean_s(*server));
+            let fastest_s = means_s.fold(f64::INFINITY, f64::min);
+            slow.retain(|server| self.mean_s(*server) > fastest_s * ALIKE_RATIO);
         }
         slow
     }
