Measure the trial with link's own choice of servers

The trial chose the least busy server by itself, so its figures said nothing of the choice that a relay makes. The choice with turns moves from the host into link (ServerTable::pick_in_turn), and host and trial both call it.

--- a/crates/connection/link/src/table.rs
+++ b/crates/connection/link/src/table.rs
@@ -77,6 +77,28 @@
         choose(&usable, chance)
     }
 
+    /// Picks as [`ServerTable::pick`] does, but where calls are `waiting` for
+    /// that server another one for which fewer wait.
+    pub fn pick_in_turn<C: Chance>(
+        &self,
+        shard: &Shard,
+        tried: &[ServerAddr],
+        waiting: impl Fn(ServerAddr) -> usize,
+        chance: &mut C,
+        now: Instant,
+    ) -> Option<ServerAddr> {
+        let first = self.pick(shard, tried, chance, now)?;
+        let before_first = waiting(first);
+        if before_first == 0 {
+            return Some(first);
+        }
+        let mut avoided = tried.to_vec();
+        avoided.push(first);
+        self.pick(shard, &avoided, chance, now)
+            .filter(|server| !avoided.contains(server) && waiting(*server) < before_first)
+            .or(Some(first))
+    }
+
     /// Returns whether every server of `shard` drains.
     pub fn all_drain(&self, shard: &Shard, now: Instant) -> bool {
         self.candidates(shard, now).is_empty()
--- a/crates/process/host/src/relay/gate/in_turn.rs
+++ b/crates/process/host/src/relay/gate/in_turn.rs
@@ -2,50 +2,37 @@
 
 use {
     crate::relay::gate::{Admitted, Tally},
+    link::ServerTable,
     plan::{AttemptId, Reason, Upstreams},
     record::{ServerAddr, Shard},
     std::time::{Duration, Instant},
 };
 
-/// Upstreams of one query, with the calls that wait for each of them.
-pub(crate) struct InTurn<'a, U> {
-    upstreams: U,
-    place: &'a Admitted,
-    tally: &'a Tally,
+/// What the calls of this host have found about upstreams, and the calls of
+/// this query that wait for them.
+pub(crate) struct InTurn<'a> {
+    pub(crate) servers: &'a ServerTable,
+    pub(crate) place: &'a Admitted,
+    pub(crate) tally: &'a Tally,
 }
 
-impl<'a, U> InTurn<'a, U> {
-    pub(crate) fn new(upstreams: U, place: &'a Admitted, tally: &'a Tally) -> Self {
-        Self {
-            upstreams,
-            place,
-            tally,
-        }
-    }
-}
-
-impl<U: Upstreams> Upstreams for InTurn<'_, U> {
-    /// Picks a server; where calls wait for it, another one with fewer.
+impl Upstreams for InTurn<'_> {
     fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], now: Instant) -> Option<ServerAddr> {
-        let first = self.upstreams.pick(shard, tried, now)?;
-        let waiting = self.place.waiting(first);
-        if waiting == 0 {
-            return Some(first);
-        }
-        let mut avoided = tried.to_vec();
-        avoided.push(first);
-        let second = self.upstreams.pick(shard, &avoided, now);
-        second
-            .filter(|server| !avoided.contains(server) && self.place.waiting(*server) < waiting)
-            .or(Some(first))
+        let waiting = |server| self.place.waiting(server);
+        self.servers
+            .pick_in_turn(shard, tried, waiting, &mut rand::random::<f64>, now)
     }
 
     fn reason(&self, shard: &Shard, now: Instant) -> Reason {
-        self.upstreams.reason(shard, now)
+        if self.servers.all_drain(shard, now) {
+            Reason::Draining
+        } else {
+            Reason::Unreachable
+        }
     }
 
     fn may_hedge(&self, shard: &Shard, now: Instant) -> bool {
-        self.upstreams.may_hedge(shard, now)
+        !self.servers.is_shedding(shard, now)
     }
 
     fn waited(&self, attempt_id: AttemptId) -> Duration {
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -7,7 +7,6 @@
             gate::{self, Admitted, InTurn, Tally},
             leaf::{self, Target},
             upkeep,
-            upstreams::Picker,
         },
         shared::Shared,
     },
@@ -127,8 +126,11 @@
     async fn drive(&self, mut gather: Gather<Rows>) -> Answer<Rows> {
         let mut calls = FuturesUnordered::new();
         let mut handles: HashMap<AttemptId, AbortHandle> = HashMap::new();
-        let picker = Picker(&self.shared.servers);
-        let mut upstreams = InTurn::new(picker, self.place, &self.tally);
+        let mut upstreams = InTurn {
+            servers: &self.shared.servers,
+            place: self.place,
+            tally: &self.tally,
+        };
         let mut actions = gather.start(&mut upstreams, Instant::now());
         loop {
             for action in actions {
--- a/crates/process/host/src/relay/upstreams.rs
+++ b/crates/process/host/src/relay/upstreams.rs
@@ -1,37 +1,16 @@
-//! What the calls of this host have found about upstreams, as a query asks for it.
+//! What calls of this host show about upstreams.
 
 use {
     crate::{
         relay::{exchange::Exchanged, news},
         shared::Shared,
     },
-    link::{DrainSign, Evidence, Refusal, ServerTable},
-    plan::{LeafFault, Reason, Upstreams},
-    record::{ServerAddr, Shard},
+    link::{DrainSign, Evidence, Refusal},
+    plan::{LeafFault, Reason},
+    record::ServerAddr,
     std::time::Instant,
 };
 
-/// Picks servers by the evidence of earlier calls.
-pub(crate) struct Picker<'a>(pub(crate) &'a ServerTable);
-
-impl Upstreams for Picker<'_> {
-    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], now: Instant) -> Option<ServerAddr> {
-        self.0.pick(shard, tried, &mut rand::random::<f64>, now)
-    }
-
-    fn reason(&self, shard: &Shard, now: Instant) -> Reason {
-        if self.0.all_drain(shard, now) {
-            Reason::Draining
-        } else {
-            Reason::Unreachable
-        }
-    }
-
-    fn may_hedge(&self, shard: &Shard, now: Instant) -> bool {
-        !self.0.is_shedding(shard, now)
-    }
-}
-
 /// One call in flight; its end becomes evidence about its server.
 pub(crate) struct CallGuard<'a> {
     shared: &'a Shared,
--- a/crates/test/trial/src/door.rs
+++ b/crates/test/trial/src/door.rs
@@ -55,6 +55,15 @@
         self.0.borrow().gate.window()
     }
 
+    /// Returns the number of those who wait.
+    pub(crate) fn waiting(&self) -> usize {
+        let state = self.0.borrow();
+        Rank::ALL
+            .into_iter()
+            .map(|rank| state.gate.waiting(rank))
+            .sum()
+    }
+
     pub(crate) async fn pass(self: &Rc<Self>, passer: &Passer) -> Result<Place<W>, Refusal> {
         let (sender, mut verdict) = oneshot::channel();
         let place = Place {
--- a/crates/test/trial/src/pool.rs
+++ b/crates/test/trial/src/pool.rs
@@ -13,8 +13,6 @@
     idle: Cell<usize>,
     connect: Duration,
     clock: Clock,
-    /// Calls that wait or run.
-    pub(crate) busy: Cell<usize>,
 }
 
 pub(crate) struct Connection<'a> {
@@ -30,15 +28,9 @@
             idle: Cell::new(0),
             connect,
             clock,
-            busy: Cell::new(0),
         }
     }
 
-    pub(crate) fn enter(&self) -> Busy<'_> {
-        self.busy.set(self.busy.get() + 1);
-        Busy(&self.busy)
-    }
-
     pub(crate) async fn checkout(&self) -> Connection<'_> {
         let permit = self.permits.acquire().await.ok();
         if self.idle.get() > 0 {
@@ -53,15 +45,6 @@
     }
 }
 
-/// Counts a call that waits or runs.
-pub(crate) struct Busy<'a>(&'a Cell<usize>);
-
-impl Drop for Busy<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 impl Drop for Connection<'_> {
     fn drop(&mut self) {
         self.pool.idle.set(self.pool.idle.get() + 1);
--- a/crates/test/trial/src/query.rs
+++ b/crates/test/trial/src/query.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         door::Passer,
-        relay::{LeafKind, Relay},
+        relay::{CallGuard, LeafKind, Relay},
         service::position_of,
     },
     admit::{RefusalKind, Shown},
@@ -17,6 +17,7 @@
         Action, Answer, AttemptId, Cause, Event, Gather, LeafCall, LeafFailure, LeafReply, Limits,
         Pin, Reason, RequestId, Upstreams,
     },
+    rand::Rng,
     record::{ServerAddr, Shard},
     std::{
         cell::RefCell,
@@ -58,21 +59,23 @@
     sheds: u32,
 }
 
-/// Prefers the server with the fewest calls of this relay.
-struct LeastBusy<'a> {
+/// The choice of servers that a relay makes for one query.
+struct InTurn<'a> {
     relay: &'a Relay,
-    request_id: RequestId,
     counts: &'a RefCell<LeafCounts>,
 }
 
-impl Upstreams for LeastBusy<'_> {
-    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], _: Instant) -> Option<ServerAddr> {
-        let turn = self.request_id as usize % shard.servers.len();
-        let in_turn = shard.servers[turn..].iter().chain(&shard.servers[..turn]);
-        let busy = |addr| self.relay.pools[position_of(addr)].busy.get();
-        in_turn
-            .map(|server| server.addr)
-            .min_by_key(|addr| (tried.contains(addr), busy(*addr)))
+impl Upstreams for InTurn<'_> {
+    fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], now: Instant) -> Option<ServerAddr> {
+        let waiting = |server| self.relay.waiting(server);
+        let mut chance = || self.relay.random.borrow_mut().random();
+        self.relay
+            .servers
+            .pick_in_turn(shard, tried, waiting, &mut chance, now)
+    }
+
+    fn may_hedge(&self, shard: &Shard, now: Instant) -> bool {
+        !self.relay.servers.is_shedding(shard, now)
     }
 
     fn waited(&self, attempt_id: AttemptId) -> Duration {
@@ -127,9 +130,8 @@
         let mut gather = Gather::new(query.request_id, pin, limits)
             .with_hedge(self.hedge)
             .with_group(Arc::clone(&self.group));
-        let mut pick = LeastBusy {
+        let mut pick = InTurn {
             relay: self,
-            request_id: query.request_id,
             counts,
         };
         let mut calls = FuturesUnordered::new();
@@ -196,7 +198,7 @@
                 .insert(call.attempt_id, Some(wait));
         };
         let result = self
-            .call_server(position_of(call.server), is_first, &query.passer, on_turn)
+            .call_server(call.server, is_first, &query.passer, on_turn)
             .await;
         let mut counts = counts.borrow_mut();
         match result {
@@ -227,13 +229,13 @@
 
     async fn call_server(
         &self,
-        position: usize,
+        server: ServerAddr,
         is_first: bool,
         passer: &Passer,
         on_turn: impl FnOnce(),
     ) -> Result<(), Reason> {
+        let position = position_of(server);
         let pool = &self.pools[position];
-        let _busy = pool.enter();
         let place = match &self.leaf {
             LeafKind::Direct => None,
             LeafKind::Queued(doors) => {
@@ -242,8 +244,11 @@
             }
         };
         on_turn();
+        let mut guard = CallGuard::new(self, server);
         let connection = pool.checkout().await;
+        let sent = self.clock.now();
         let result = pool.server.call(is_first).await;
+        guard.on_result(result, sent);
         drop(connection);
         // Dropped, not completed: the calls of an admitted query are never
         // refused for an estimate, only when the deadline has passed.
--- a/crates/test/trial/src/relay.rs
+++ b/crates/test/trial/src/relay.rs
@@ -6,13 +6,16 @@
         controller::{AnyWindow, GateKind},
         door::Door,
         pool::Pool,
-        server::Server,
+        server::{Server, Shed},
+        service::position_of,
         trial::Trial,
     },
     admit::{Config, Fixed},
+    link::{Evidence, Refusal, ServerTable},
     plan::Group,
-    record::Hedge,
-    std::{rc::Rc, sync::Arc},
+    rand::{rngs::StdRng, Rng, SeedableRng},
+    record::{Hedge, ServerAddr},
+    std::{cell::RefCell, rc::Rc, sync::Arc, time::Instant},
     tokio::sync::watch,
 };
 
@@ -36,6 +39,8 @@
     pub(crate) door: Rc<Door<AnyWindow>>,
     pub(crate) leaf: LeafKind,
     pub(crate) pools: Vec<Pool>,
+    pub(crate) servers: ServerTable,
+    pub(crate) random: RefCell<StdRng>,
     pub(crate) service: Arc<record::Service>,
     pub(crate) hedge: Hedge,
     pub(crate) group: Arc<Group>,
@@ -44,7 +49,7 @@
 }
 
 impl Relay {
-    pub(crate) fn new(trial: &Trial, servers: &[Rc<Server>], clock: Clock) -> Self {
+    pub(crate) fn new(trial: &Trial, servers: &[Rc<Server>], seed: u64, clock: Clock) -> Self {
         let service = &trial.service;
         let config = Config::default().floor_share(trial.floor_share);
         let controller = trial.controller;
@@ -64,6 +69,8 @@
             door: Rc::new(Door::new(config, window, clock)),
             leaf,
             pools: servers.iter().map(pool).collect(),
+            servers: ServerTable::default(),
+            random: RefCell::new(StdRng::seed_from_u64(seed)),
             service: Arc::new(service.record()),
             hedge: trial.hedge,
             group: Arc::default(),
@@ -71,6 +78,55 @@
             is_lost: watch::Sender::new(false),
         }
     }
+
+    /// Returns the number of calls that wait for a turn at `server`.
+    pub(crate) fn waiting(&self, server: ServerAddr) -> usize {
+        match &self.leaf {
+            LeafKind::Direct => 0,
+            LeafKind::Queued(doors) => doors[position_of(server)].waiting(),
+        }
+    }
+}
+
+/// One call under way; its end becomes evidence about its server.
+pub(crate) struct CallGuard<'a> {
+    relay: &'a Relay,
+    server: ServerAddr,
+    began: Instant,
+    evidence: Option<Evidence>,
+}
+
+impl<'a> CallGuard<'a> {
+    pub(crate) fn new(relay: &'a Relay, server: ServerAddr) -> Self {
+        let began = relay.clock.now();
+        relay.servers.on_begin(server, began);
+        Self {
+            relay,
+            server,
+            began,
+            evidence: None,
+        }
+    }
+
+    pub(crate) fn on_result(&mut self, result: Result<(), Shed>, sent: Instant) {
+        let took = self.relay.clock.now().saturating_duration_since(sent);
+        self.evidence = Some(match result {
+            Ok(()) => Evidence::Replied(took),
+            Err(Shed) => Evidence::Refused(Refusal::Shed),
+        });
+    }
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        let now = self.relay.clock.now();
+        let waited = now.saturating_duration_since(self.began);
+        let evidence = self.evidence.unwrap_or(Evidence::Cancelled(waited));
+        let jitter = self.relay.random.borrow_mut().random();
+        self.relay
+            .servers
+            .on_end(self.server, evidence, jitter, now);
+    }
 }
 
 fn leaf_doors(trial: &Trial, clock: Clock) -> Vec<Rc<Door<Fixed>>> {
--- a/crates/test/trial/src/run.rs
+++ b/crates/test/trial/src/run.rs
@@ -66,7 +66,7 @@
             })
             .collect();
         let relays = (0..trial.relays)
-            .map(|_| Rc::new(Relay::new(trial, &servers, clock)))
+            .map(|i| Rc::new(Relay::new(trial, &servers, trial.seed + i as u64, clock)))
             .collect();
         Self {
             trial: trial.clone(),
@@ -163,6 +163,6 @@
     world.clock.sleep(loss.lost_at).await;
     world.relays.borrow()[0].is_lost.send_replace(true);
     world.clock.sleep(loss.replaced_at - loss.lost_at).await;
-    let fresh = Relay::new(&world.trial, &world.servers, world.clock);
+    let fresh = Relay::new(&world.trial, &world.servers, world.trial.seed, world.clock);
     world.relays.borrow_mut()[0] = Rc::new(fresh);
 }
--- a/crates/test/trial/tests/floods.rs
+++ b/crates/test/trial/tests/floods.rs
@@ -11,12 +11,14 @@
 
 /// Simulated time, short enough for a debug build.
 const DURATION: Duration = Duration::from_secs(8);
-/// Urgent tail in a flood of background over the calm one.
+/// Urgent tail in a flood of background, or with slow servers, over the calm one.
 const MAX_URGENT_RATIO: f64 = 1.5;
 /// Share of urgent queries answered in a flood of background.
 const MIN_URGENT_ANSWERED: f64 = 0.999;
 /// Work done over the capacity in a flood.
 const MIN_WORK: f64 = 0.9;
+/// Extra leaf calls for slow servers.
+const MAX_EXTRA: f64 = 0.05;
 /// Work of a lower rank over its floor in a flood of urgent.
 const MIN_FLOOR_KEPT: f64 = 0.9;
 
@@ -57,6 +59,17 @@
     check_flood_of_background(Trial::landesamt_floors());
 }
 
+#[test]
+fn slow_servers_leave_urgent_near_calm_for_few_extra_calls() {
+    let floor_share = Trial::tallapoosa_floors();
+    let calm = run(Load::calm(), floor_share);
+    let slow = run(Load::straggler(), floor_share);
+    let p99_ms = |report: &Report| report.ranks.get(Rank::Urgent).p99_ms;
+    let ratio = p99_ms(&slow) / p99_ms(&calm);
+    assert!(ratio <= MAX_URGENT_RATIO, "{ratio}\n{calm}\n{slow}");
+    assert!(slow.extra_share <= MAX_EXTRA, "{slow}");
+}
+
 #[test]
 fn tallapoosa_keeps_its_floors_in_a_flood_of_urgent() {
     check_flood_of_urgent(Trial::tallapoosa_floors());
