Offer 90% load and a weak server in the trial

One server with half the slots that the record states, the same without a queue, or one that sheds everything.

--- a/crates/test/trial/examples/trial.rs
+++ b/crates/test/trial/examples/trial.rs
@@ -6,7 +6,7 @@
         value_parser, Arg, ArgMatches, Command,
     },
     std::time::Duration,
-    trial::{Controller, GateKind, Load, Service, Trial},
+    trial::{Controller, GateKind, Load, Service, Trial, Weakness},
 };
 
 fn main() {
@@ -15,12 +15,19 @@
         "landesamt" => Trial::landesamt_floors(),
         _ => Trial::tallapoosa_floors(),
     };
-    let load = match text(&matches, "load") {
+    let mut load = match text(&matches, "load") {
+        "busy" => Load::busy(),
         "straggler" => Load::straggler(),
         "flood-background" => Load::flood_of_background(),
         "flood-urgent" => Load::flood_of_urgent(&floor_share),
         _ => Load::calm(),
     };
+    load.weakness = match text(&matches, "weak") {
+        "half-slots" => Weakness::HalfSlots,
+        "no-queue" => Weakness::NoQueue,
+        "shedding" => Weakness::Shedding,
+        _ => Weakness::None,
+    };
     let service = match text(&matches, "service") {
         "fair-ledger" => Service::fair_ledger(),
         "pooled" => Service::pooled(),
@@ -62,10 +69,20 @@
         .arg(
             choice(
                 "load",
-                &["calm", "straggler", "flood-background", "flood-urgent"],
+                &[
+                    "calm",
+                    "busy",
+                    "straggler",
+                    "flood-background",
+                    "flood-urgent",
+                ],
             )
             .help("Offered load; a flood is ten times the capacity"),
         )
+        .arg(
+            choice("weak", &["none", "half-slots", "no-queue", "shedding"])
+                .help("What is wrong with one server"),
+        )
         .arg(choice("floors", &["tallapoosa", "landesamt"]).help("Floors of the ranks"))
         .arg(choice("gate", &["both", "query", "leaf"]).help("Where queries wait"))
         .arg(choice("controller", &["delay", "fixed"]).help("Control of the window"))
--- a/crates/test/trial/src/lib.rs
+++ b/crates/test/trial/src/lib.rs
@@ -37,7 +37,7 @@
 
 pub use crate::{
     controller::{Controller, GateKind},
-    load::Load,
+    load::{Load, Weakness},
     report::{RankReport, Report},
     service::Service,
     trial::Trial,
--- a/crates/test/trial/src/load.rs
+++ b/crates/test/trial/src/load.rs
@@ -14,6 +14,21 @@
     pub deadline: ByRank<Duration>,
     /// Factor on the execution times of one server in ten; 1 is none.
     pub slow_factor: u32,
+    /// What is wrong with the first server.
+    pub weakness: Weakness,
+}
+
+/// What is wrong with one server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Weakness {
+    /// Nothing.
+    None,
+    /// It has half the slots that the record states.
+    HalfSlots,
+    /// It has half the slots and sheds what finds none free.
+    NoQueue,
+    /// It sheds everything.
+    Shedding,
 }
 
 /// Floors of a flood are offered this often, so that the floor is what limits.
@@ -32,9 +47,17 @@
                 Duration::from_secs(5),
             ),
             slow_factor: 1,
+            weakness: Weakness::None,
         }
     }
 
+    /// Returns a load of 90% of the capacity, most of it background work.
+    pub fn busy() -> Self {
+        let mut load = Self::calm();
+        *load.share.get_mut(Rank::Background) = 0.6;
+        load
+    }
+
     /// Returns the calm load with one server in ten slowed ten times.
     pub fn straggler() -> Self {
         Self {
--- a/crates/test/trial/src/run.rs
+++ b/crates/test/trial/src/run.rs
@@ -4,6 +4,7 @@
     crate::{
         clock::Clock,
         door::Passer,
+        load::Weakness,
         query::{Outcome, Query},
         relay::Relay,
         report::Tally,
@@ -61,8 +62,14 @@
             .map(|i| {
                 let is_slow = i % SLOW_ONE_IN == SLOW_ONE_IN - 1;
                 let slow_factor = if is_slow { trial.load.slow_factor } else { 1 };
+                let weakness = if i == 0 {
+                    trial.load.weakness
+                } else {
+                    Weakness::None
+                };
                 let seed = trial.seed * 1_000 + i as u64;
-                Rc::new(Server::new(&trial.service, slow_factor, seed, clock))
+                let service = &trial.service;
+                Rc::new(Server::new(service, slow_factor, weakness, seed, clock))
             })
             .collect();
         let relays = (0..trial.relays)
--- a/crates/test/trial/src/server.rs
+++ b/crates/test/trial/src/server.rs
@@ -1,7 +1,7 @@
 //! Fake of an upstream server: slots, a short queue, execution times.
 
 use {
-    crate::{clock::Clock, service::Service},
+    crate::{clock::Clock, load::Weakness, service::Service},
     rand::{rngs::StdRng, Rng, SeedableRng},
     std::{
         cell::{Cell, RefCell},
@@ -37,11 +37,24 @@
 }
 
 impl Server {
-    pub(crate) fn new(service: &Service, slow_factor: u32, seed: u64, clock: Clock) -> Self {
+    pub(crate) fn new(
+        service: &Service,
+        slow_factor: u32,
+        weakness: Weakness,
+        seed: u64,
+        clock: Clock,
+    ) -> Self {
+        let slots = service.slots as usize;
+        let (slots, queue_limit) = match weakness {
+            Weakness::None => (slots, service.queue_limit),
+            Weakness::HalfSlots => (slots / 2, service.queue_limit),
+            Weakness::NoQueue => (slots / 2, 0),
+            Weakness::Shedding => (0, 0),
+        };
         Self {
-            slots: Semaphore::new(service.slots as usize),
+            slots: Semaphore::new(slots),
             waiting: Cell::new(0),
-            queue_limit: service.queue_limit,
+            queue_limit,
             mean: service.mean * slow_factor,
             hop: service.hop,
             random: RefCell::new(StdRng::seed_from_u64(seed)),
@@ -64,7 +77,7 @@
     }
 
     async fn execute(&self) -> Result<(), Shed> {
-        if self.waiting.get() >= self.queue_limit {
+        if self.slots.available_permits() == 0 && self.waiting.get() >= self.queue_limit {
             self.sheds.set(self.sheds.get() + 1);
             return Err(Shed);
         }
