Narrow the window of a service only when many calls are shed

One refused call in 16 queries took a tenth off the window of the whole service, so a single server without room held its service at the least window. Now more than a tenth of the calls has to be refused.

--- a/crates/request/admit/src/offer.rs
+++ b/crates/request/admit/src/offer.rs
@@ -27,6 +27,8 @@
 pub struct Shown {
     /// Median latency of the leaf calls that were answered, if any was.
     pub leaf_latency: Option<Duration>,
+    /// Number of leaf calls that were answered.
+    pub answered: u32,
     /// Number of leaf calls that upstreams refused for load.
     pub sheds: u32,
 }
@@ -38,10 +40,12 @@
     /// hedging, and narrowing the window would not make it faster.
     pub fn new(mut leaf_latencies: Vec<Duration>, sheds: u32) -> Self {
         let middle = leaf_latencies.len() / 2;
+        let answered = u32::try_from(leaf_latencies.len()).unwrap_or(u32::MAX);
         let leaf_latency =
             (!leaf_latencies.is_empty()).then(|| *leaf_latencies.select_nth_unstable(middle).1);
         Self {
             leaf_latency,
+            answered,
             sheds,
         }
     }
--- a/crates/request/admit/src/window/baseline.rs
+++ b/crates/request/admit/src/window/baseline.rs
@@ -12,8 +12,8 @@
 pub(crate) struct Batch {
     /// Mean latency over the baseline; 1 means no queueing.
     pub(crate) latency_ratio: f64,
-    /// Calls that upstreams refused for load.
-    pub(crate) sheds: u32,
+    /// Calls that upstreams refused for load, over all calls that ended.
+    pub(crate) shed_share: f64,
     /// Whether the window was full when the batch began or ended.
     pub(crate) is_full: bool,
 }
@@ -23,6 +23,7 @@
 pub(crate) struct Batches {
     count: u32,
     sum: Duration,
+    answered: u32,
     sheds: u32,
     is_full: bool,
     baseline_s: Option<f64>,
@@ -31,6 +32,7 @@
 impl Batches {
     /// Adds a query and returns the batch that it ends.
     pub(crate) fn add(&mut self, shown: &Shown, is_full: bool) -> Option<Batch> {
+        self.answered += shown.answered;
         self.sheds += shown.sheds;
         self.is_full |= is_full;
         let latency = shown.leaf_latency?;
@@ -45,7 +47,7 @@
             .map_or(mean_s, |lowest| (lowest * BASELINE_GROWTH).min(mean_s));
         let batch = Batch {
             latency_ratio: mean_s / baseline_s.max(f64::MIN_POSITIVE),
-            sheds: self.sheds,
+            shed_share: f64::from(self.sheds) / f64::from((self.sheds + self.answered).max(1)),
             is_full: self.is_full,
         };
         *self = Self {
--- a/crates/request/admit/src/window/delay.rs
+++ b/crates/request/admit/src/window/delay.rs
@@ -10,7 +10,10 @@
 
 /// Latency over the baseline up to which the window grows.
 const MAX_LATENCY_RATIO: f64 = 2.5;
-/// Factor on the window when leaf calls queue or upstreams shed.
+/// Share of calls refused for load up to which the window grows: a server that
+/// sheds alone has a limit of its own and is no reason to run fewer queries.
+const MAX_SHED_SHARE: f64 = 0.1;
+/// Factor on the window when leaf calls queue or many of them are shed.
 const DECREASE: f64 = 0.9;
 
 /// Additive increase, multiplicative decrease on queueing delay and sheds.
@@ -45,7 +48,7 @@
         let Some(batch) = self.batches.add(shown, is_full) else {
             return;
         };
-        if batch.sheds > 0 || batch.latency_ratio > MAX_LATENCY_RATIO {
+        if batch.shed_share > MAX_SHED_SHARE || batch.latency_ratio > MAX_LATENCY_RATIO {
             self.limit = self.bounds.clamp(self.limit * DECREASE);
         } else if batch.is_full {
             self.limit = self.bounds.clamp(self.limit + 1.0);
