--- a/crates/request/plan/src/speed.rs
+++ b/crates/request/plan/src/speed.rs
@@ -22,6 +22,8 @@
 const SLOW_WEIGHT: f64 = 0.5;
 /// Mean latency of a slow server, in medians of its group.
 const SLOW_RATIO: f64 = 4.0;
+/// Mean latency of a slow server up to which it is like the fastest of its shard, over that one's.
+const ALIKE_RATIO: f64 = 2.0;
 /// Number of latencies before a server is judged.
 const MIN_SAMPLES: u32 = 4;
 /// Time for which a slow server is left out before one call tries it again.
@@ -68,10 +70,30 @@
         is_slow
     }
 
+    /// Returns those of `servers` that are to be left out, never all of several.
+    ///
+    /// The other replica of a slow server has all the load of its shard, so that
+    /// it looks slow itself. The faster one then stays.
+    pub(crate) fn left_out(&self, servers: &[ServerAddr], now: Instant) -> Vec<ServerAddr> {
+        let mut slow = servers.to_vec();
+        slow.retain(|server| self.is_left_out(*server, now));
+        if slow.len() > 1 && slow.len() == servers.len() {
+            let means_s = slow.iter().map(|server| self.mean_s(*server));
+            let fastest_s = means_s.fold(f64::INFINITY, f64::min);
+            slow.retain(|server| self.mean_s(*server) > fastest_s * ALIKE_RATIO);
+        }
+        slow
+    }
+
+    fn mean_s(&self, server: ServerAddr) -> f64 {
+        let speeds = self.lock_of(server).lock();
+        speeds.get(&server).map_or(0.0, |speed| speed.mean_s)
+    }
+
     /// Returns whether a server is to be left out.
     ///
     /// Once in a while the answer is no for a single caller, who tries the server again.
-    pub(crate) fn is_left_out(&self, server: ServerAddr, now: Instant) -> bool {
+    fn is_left_out(&self, server: ServerAddr, now: Instant) -> bool {
         let mut speeds = self.lock_of(server).lock();
         let Some(speed) = speeds.get_mut(&server) else {
             return false;
