Decide many claims in one write of a claim log

Cause: a booking costs two store writes, so that the store bounds bookings to one or two hundred a second over the whole fleet.

The decisions: scopes fall into 4 ranges; the open generation of a range is one value, changed by compare-and-swap only, which holds the claims and outcomes themselves. A full generation is copied to a key that never changes and named by the next open one in the same write that claims. A host keeps the open generation and the hashes of sealed ones; what it keeps may be out of date, which costs a conflict. Not wired in yet.

The three tests of `store` that step a decision by hand share what happens to a call (tests/faults), with the same cases as before.

--- a/crates/process/store/src/claim.rs
+++ b/crates/process/store/src/claim.rs
@@ -28,6 +28,8 @@
 pub type ClaimAttemptId = u128;
 /// Hash of what a request asks for.
 pub type Fingerprint = u128;
+/// Hash of what a claim is scoped to.
+pub type ScopeHash = u128;
 
 /// What a claim is scoped to.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -41,8 +43,8 @@
 }
 
 impl ClaimScope {
-    /// Returns the key of the claim in the platform's store.
-    pub fn store_key(&self) -> String {
+    /// Returns the hash that stands for the scope in the platform's store.
+    pub fn hash(&self) -> ScopeHash {
         // The parts are led by their length, so that no two scopes run together.
         let text = format!(
             "{}:{}{}:{}{}",
@@ -52,7 +54,12 @@
             self.route,
             self.key
         );
-        format!("wharf/claim/{:032x}", xxh3_128(text.as_bytes()))
+        xxh3_128(text.as_bytes())
+    }
+
+    /// Returns the key of the claim in the platform's store.
+    pub fn store_key(&self) -> String {
+        format!("wharf/claim/{:032x}", self.hash())
     }
 }
 
@@ -111,6 +118,53 @@
         serde_json::from_slice(bytes)
             .map_err(|e| Error::new(Kind::Internal, format!("malformed claim: {e}")))
     }
+
+    /// Returns how the request ended, once that is known.
+    pub fn outcome(&self) -> Option<&Outcome> {
+        self.outcome.as_ref()
+    }
+
+    /// Returns whether both claims are of one attempt.
+    pub(crate) fn is_of_same_attempt(&self, other: &Self) -> bool {
+        self.attempt_id == other.attempt_id
+    }
+
+    /// Returns what a claim that stands means for this one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::KeyReused`] or [`Kind::AlreadyClaimed`].
+    pub(crate) fn meet(&self, found: Self) -> Result<Met> {
+        if self.is_of_same_attempt(&found) {
+            return Ok(Met::Own);
+        }
+        if found.fingerprint != self.fingerprint {
+            return Err(Error::new(
+                Kind::KeyReused,
+                "the key was used with another body",
+            ));
+        }
+        match found.outcome {
+            // Proof that nothing ran, so that the next attempt may take over.
+            Some(outcome) if outcome.ran == Ran::No => Ok(Met::Free),
+            Some(outcome) => Ok(Met::Finished(outcome)),
+            None => Err(Error::new(
+                Kind::AlreadyClaimed,
+                "another attempt has taken the key, its outcome is not known",
+            )),
+        }
+    }
+}
+
+/// What a claim that stands means for another one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Met {
+    /// It is the same claim.
+    Own,
+    /// It may be taken over.
+    Free,
+    /// Its request has run.
+    Finished(Outcome),
 }
 
 /// Permission to dispatch, once.
@@ -123,10 +177,10 @@
 }
 
 /// How a claiming ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Claimed {
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Claimed<W = Won> {
     /// This attempt holds the claim and dispatches.
-    Won(Won),
+    Won(W),
     /// Another attempt has run the request, with this outcome.
     Finished(Outcome),
 }
@@ -232,23 +286,11 @@
             Ok(found) => found,
             Err(error) => return ClaimStep::Done(Err(error)),
         };
-        if found.attempt_id == self.claim.attempt_id {
-            return self.win(value.key_revision);
-        }
-        if found.fingerprint != self.claim.fingerprint {
-            return ClaimStep::Done(Err(Error::new(
-                Kind::KeyReused,
-                "the key was used with another body",
-            )));
-        }
-        match found.outcome {
-            // Proof that nothing ran, so that the next attempt may take over.
-            Some(outcome) if outcome.ran == Ran::No => self.write(Expected::At(value.key_revision)),
-            Some(outcome) => ClaimStep::Done(Ok(Claimed::Finished(outcome))),
-            None => ClaimStep::Done(Err(Error::new(
-                Kind::AlreadyClaimed,
-                "another attempt has taken the key, its outcome is not known",
-            ))),
+        match self.claim.meet(found) {
+            Ok(Met::Own) => self.win(value.key_revision),
+            Ok(Met::Free) => self.write(Expected::At(value.key_revision)),
+            Ok(Met::Finished(outcome)) => ClaimStep::Done(Ok(Claimed::Finished(outcome))),
+            Err(error) => ClaimStep::Done(Err(error)),
         }
     }
 
--- a/crates/process/store/src/lib.rs
+++ b/crates/process/store/src/lib.rs
@@ -5,6 +5,8 @@
 //! not a failed write.
 
 mod claim;
+mod claim_batch;
+mod claim_log;
 mod commit;
 mod history;
 mod http;
@@ -14,8 +16,13 @@
 pub use crate::{
     claim::{
         claim, fingerprint, record_outcome, Claim, ClaimAttemptId, ClaimEvent, ClaimScope,
-        ClaimStep, Claimed, Claiming, Fingerprint, Outcome, Won, MAX_KEPT_ANSWER_BYTES,
+        ClaimStep, Claimed, Claiming, Fingerprint, Outcome, ScopeHash, Won, MAX_KEPT_ANSWER_BYTES,
     },
+    claim_batch::{
+        run_batch, Batch, BatchAnswer, BatchEnd, BatchEvent, BatchId, BatchOp, BatchStep, Leases,
+        RangeView,
+    },
+    claim_log::{claim_range, ClaimRange, CLAIM_RANGES},
     commit::{commit, Body, Commit, CommitEvent, CommitStep, Committed},
     history::{body_key_at, load_history, MAX_HISTORY},
     http::HttpPlatform,
--- a/crates/process/store/tests/claim.rs
+++ b/crates/process/store/tests/claim.rs
@@ -1,43 +1,25 @@
 //! Tests of the claiming, stepped by hand against a store in memory.
 
+mod faults;
+
 use {
+    crate::faults::Fate,
     fakes::memory::MemoryStore,
     kind::{Kind, Ran, Result},
-    store::{
-        Claim, ClaimEvent, ClaimScope, ClaimStep, Claimed, Claiming, Expected, Fault, Outcome,
-    },
+    store::{Claim, ClaimEvent, ClaimScope, ClaimStep, Claimed, Claiming, Expected, Outcome},
 };
 
 const KEY: &str = "wharf/claim/1";
 
-/// What happens to one step.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Fate {
-    Fine,
-    ReplyLost,
-    RequestLost,
-    Down,
-}
-
 fn run(store: &mut MemoryStore, mut claiming: Claiming, fates: &[Fate]) -> Result<Claimed> {
     let mut fates = fates.iter().copied();
     let mut step = claiming.start();
     loop {
         let fate = fates.next().unwrap_or(Fate::Fine);
-        let fault = match fate {
-            Fate::Fine => None,
-            Fate::ReplyLost | Fate::RequestLost => Some(Fault::Unknown("lost".to_owned())),
-            Fate::Down => Some(Fault::Unreachable("down".to_owned())),
-        };
         let event = match step {
-            ClaimStep::Read => ClaimEvent::Read(fault.map_or_else(|| Ok(store.get(KEY)), Err)),
+            ClaimStep::Read => ClaimEvent::Read(fate.read(store, KEY)),
             ClaimStep::Write { expected, bytes } => {
-                let has_effect = matches!(fate, Fate::Fine | Fate::ReplyLost);
-                let written = has_effect.then(|| store.put(KEY, expected, bytes));
-                ClaimEvent::Written(match fault {
-                    Some(fault) => Err(fault),
-                    None => written.expect("a valid value"),
-                })
+                ClaimEvent::Written(fate.write(store, KEY, expected, bytes))
             }
             ClaimStep::Done(result) => return result,
         };
--- a/crates/process/store/tests/commit.rs
+++ b/crates/process/store/tests/commit.rs
@@ -1,21 +1,15 @@
 //! Tests of the commit, stepped by hand against a store in memory.
 
+mod faults;
+
 use {
+    crate::faults::Fate,
     fakes::memory::MemoryStore,
     kind::{Kind, Ran, Result},
     record::{Change, Head, Precondition, RawRecord, RecordId, Stamp, MAX_OPERATIONS},
-    store::{Commit, CommitEvent, CommitStep, Committed, Expected, Fault, HEAD_KEY},
+    store::{Commit, CommitEvent, CommitStep, Committed, Expected, HEAD_KEY},
 };
 
-/// What happens to one step.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Fate {
-    Fine,
-    ReplyLost,
-    RequestLost,
-    Down,
-}
-
 fn stamp(operation_id: &str) -> Stamp {
     Stamp {
         operation_id: operation_id.to_owned(),
@@ -36,27 +30,13 @@
 }
 
 fn answer(store: &mut MemoryStore, step: &CommitStep, fate: Fate) -> CommitEvent {
-    let fault = match fate {
-        Fate::Fine => None,
-        Fate::ReplyLost | Fate::RequestLost => Some(Fault::Unknown("lost".to_owned())),
-        Fate::Down => Some(Fault::Unreachable("down".to_owned())),
-    };
     match step {
-        CommitStep::ReadHead => {
-            CommitEvent::Read(fault.map_or_else(|| Ok(store.get(HEAD_KEY)), Err))
-        }
+        CommitStep::ReadHead => CommitEvent::Read(fate.read(store, HEAD_KEY)),
         CommitStep::Write {
             key,
             expected,
             bytes,
-        } => {
-            let has_effect = matches!(fate, Fate::Fine | Fate::ReplyLost);
-            let written = has_effect.then(|| store.put(key, *expected, bytes.clone()));
-            match fault {
-                Some(fault) => CommitEvent::Written(Err(fault)),
-                None => CommitEvent::Written(written.expect("a valid value")),
-            }
-        }
+        } => CommitEvent::Written(fate.write(store, key, *expected, bytes.clone())),
         CommitStep::Done(_) => panic!("the commit has ended"),
     }
 }
