Write many claims at once where a route's record says so

`claims = "batched"` in a route record has claims and outcomes written to the claim log, by the hinted owner of their range or, if that does not answer, by the entry itself. While versions of a route differ in `claims`, a request must win its key and the log, so that lagging hosts, a former release and earlier claims are covered; the field is left out of the wire when it is the default.

Ruled out: reading the key in the log's way instead of claiming both (misses a later claim of a lagging host); a gathering time before each batch (every lone booking waits twice).

Not done: the log in the model; a host of the former release beside this one.

--- a/crates/process/fleet/src/lib.rs
+++ b/crates/process/fleet/src/lib.rs
@@ -33,7 +33,7 @@
         SUSPECT_TIMEOUT,
     },
     wire::{
-        is_spoken, Held, Peer, PeerClient, PeerRequest, PeerResponse, QueryAnswer, QueryCall,
-        WireRows, PROTOCOL_VERSION,
+        is_spoken, ClaimCall, ClaimReply, Held, Peer, PeerClient, PeerRequest, PeerResponse,
+        QueryAnswer, QueryCall, WireOutcome, WireRows, PROTOCOL_VERSION,
     },
 };
--- a/crates/process/fleet/src/wire.rs
+++ b/crates/process/fleet/src/wire.rs
@@ -100,6 +100,45 @@
     }
 }
 
+/// A claim, or the outcome of one, on its way to the host that gathers them.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ClaimCall {
+    /// Version of the protocol that the sender speaks.
+    pub protocol_version: u32,
+    /// Hash of the scope, in hexadecimal.
+    pub scope: String,
+    /// Identifier of the attempt, in hexadecimal.
+    pub attempt_id: String,
+    /// Fingerprint of the request, in hexadecimal.
+    pub fingerprint: String,
+    /// Time for which the claim must be kept, in seconds.
+    pub retention_s: u64,
+    /// How the request ended, if that is to be recorded.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<WireOutcome>,
+}
+
+/// How a request that runs at most once ended.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WireOutcome {
+    /// Whether the request was executed.
+    pub ran: Ran,
+    /// The answer that the caller got, if it was kept.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answer: Option<String>,
+    /// Name of the kind of failure, if it was one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub failure: Option<String>,
+}
+
+/// The answer to a claim that was not refused.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ClaimReply {
+    /// How another attempt ended; without it this one holds the claim.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub finished: Option<WireOutcome>,
+}
+
 /// What a host holds in force.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Held {
@@ -118,6 +157,11 @@
     /// Runs a query as its relay.
     async fn query(call: QueryCall) -> Result<QueryAnswer>;
 
+    /// Writes a claim or an outcome to the claim log.
+    ///
+    /// The former release closes a connection on which it is called.
+    async fn claim(call: ClaimCall) -> Result<ClaimReply>;
+
     /// Exchanges news of the fleet.
     async fn exchange(message: WireMessage) -> Result<WireMessage>;
 
--- /dev/null
+++ b/crates/process/host/src/claims/wire.rs
@@ -0,0 +1,72 @@
+//! Claims as hosts send them to each other.
+
+use {
+    fleet::{ClaimCall, ClaimReply, WireOutcome, PROTOCOL_VERSION},
+    kind::{Error, Kind, Ran, Result},
+    std::time::Duration,
+    store::{BatchOp, Claim, Claimed, Outcome},
+};
+
+pub(super) fn call_of(op: &BatchOp) -> ClaimCall {
+    ClaimCall {
+        protocol_version: PROTOCOL_VERSION,
+        scope: format!("{:032x}", op.scope_hash),
+        attempt_id: op.claim.attempt_id().to_owned(),
+        fingerprint: op.claim.fingerprint().to_owned(),
+        retention_s: op.retention.as_secs(),
+        outcome: op.claim.outcome().map(wire_outcome),
+    }
+}
+
+/// # Errors
+///
+/// Returns [`Kind::BadPeer`] for a number that cannot be read.
+pub(super) fn op_of(call: ClaimCall) -> Result<BatchOp> {
+    let claim = Claim::new(number(&call.attempt_id)?, number(&call.fingerprint)?);
+    Ok(BatchOp {
+        scope_hash: number(&call.scope)?,
+        retention: Duration::from_secs(call.retention_s),
+        claim: match call.outcome {
+            Some(wire) => claim.with_outcome(outcome(wire)),
+            None => claim,
+        },
+    })
+}
+
+pub(super) fn reply_of(claimed: Claimed<()>) -> ClaimReply {
+    let finished = match claimed {
+        Claimed::Won(()) => None,
+        Claimed::Finished(outcome) => Some(wire_outcome(&outcome)),
+    };
+    ClaimReply { finished }
+}
+
+pub(super) fn claimed_of(reply: ClaimReply) -> Claimed<()> {
+    match reply.finished {
+        None => Claimed::Won(()),
+        Some(wire) => Claimed::Finished(outcome(wire)),
+    }
+}
+
+fn wire_outcome(outcome: &Outcome) -> WireOutcome {
+    WireOutcome {
+        ran: outcome.ran,
+        answer: outcome.answer.clone(),
+        failure: outcome.failure.clone(),
+    }
+}
+
+fn outcome(wire: WireOutcome) -> Outcome {
+    Outcome {
+        ran: wire.ran,
+        answer: wire.answer,
+        failure: wire.failure,
+    }
+}
+
+fn number(text: &str) -> Result<u128> {
+    u128::from_str_radix(text, 16).map_err(|_| {
+        let detail = format!("'{text}' is not a number in hexadecimal");
+        Error::new(Kind::BadPeer, detail).with_ran(Ran::No)
+    })
+}
--- a/crates/process/host/src/entry/query.rs
+++ b/crates/process/host/src/entry/query.rs
@@ -111,7 +111,8 @@
         .life
         .enter()
         .ok_or_else(|| not_ready(shared.life.phase()))?;
-    let route = shared.in_force().route(route, headers.record_version)?;
+    let in_force = shared.in_force();
+    let route = in_force.route(route, headers.record_version)?;
     let deadline = began + headers.deadline_for(&route)?;
     let query = checked_body(body, shared.settings.max_body_bytes)?;
     let call = QueryCall {
@@ -131,6 +132,7 @@
     }
     let request = OnceRequest {
         scope: checked_scope(headers, &route)?,
+        places: in_force.claim_places(&route.name),
         fingerprint: fingerprint(call.query.get().as_bytes()),
         route: Arc::clone(&route),
         deadline,
--- a/crates/process/host/src/peer.rs
+++ b/crates/process/host/src/peer.rs
@@ -6,14 +6,15 @@
 
 use {
     crate::{
+        claims,
         counted::{Counted, Traffic},
         flushed::Flushed,
         relay,
         shared::Shared,
     },
     fleet::{
-        is_spoken, Held, Message, Peer, PeerClient, QueryAnswer, QueryCall, WireMessage,
-        PROTOCOL_VERSION,
+        is_spoken, ClaimCall, ClaimReply, Held, Message, Peer, PeerClient, QueryAnswer, QueryCall,
+        WireMessage, PROTOCOL_VERSION,
     },
     futures::StreamExt,
     kind::{Error, Kind, Ran, Result},
@@ -21,6 +22,7 @@
     record::{Revision, WireBundle},
     std::{
         collections::HashMap,
+        future::Future,
         net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
@@ -114,8 +116,7 @@
     }
 
     async fn answers_probe(&self) -> bool {
-        let mut context = context::current();
-        context.deadline = Instant::now() + PROBE_TIMEOUT;
+        let context = context_until(Instant::now() + PROBE_TIMEOUT);
         let answered = timeout(PROBE_TIMEOUT, self.client.probe(context)).await;
         let is_answered = matches!(answered, Ok(Ok(())));
         if is_answered {
@@ -137,9 +138,33 @@
         deadline: Instant,
     ) -> Result<Result<QueryAnswer>, Lost> {
         let connection = self.connection(shared, addr).await?;
-        let mut context = context::current();
-        context.deadline = deadline;
-        let answer = connection.client.query(context, call);
+        let answer = connection.client.query(context_until(deadline), call);
+        self.answer(shared, addr, &connection, answer).await
+    }
+
+    /// Sends a claim to the host at `addr`.
+    ///
+    /// The inner result is that host's own word, the outer one says whether it came.
+    pub(crate) async fn claim(
+        &self,
+        shared: &Arc<Shared>,
+        addr: SocketAddr,
+        call: ClaimCall,
+        deadline: Instant,
+    ) -> Result<Result<ClaimReply>, Lost> {
+        let connection = self.connection(shared, addr).await?;
+        let answer = connection.client.claim(context_until(deadline), call);
+        self.answer(shared, addr, &connection, answer).await
+    }
+
+    /// Waits for the answer to a call while its connection is not silent.
+    async fn answer<T>(
+        &self,
+        shared: &Arc<Shared>,
+        addr: SocketAddr,
+        connection: &Connection,
+        answer: impl Future<Output = Result<T, RpcError>>,
+    ) -> Result<T, Lost> {
         pin!(answer);
         select! {
             biased;
@@ -148,10 +173,10 @@
                     connection.hear();
                     Ok(answer)
                 }
-                Err(error) => Err(self.on_error(addr, &connection, &error)),
+                Err(error) => Err(self.on_error(addr, connection, &error)),
             },
             () = connection.watch_silence() => {
-                Err(self.on_silence(shared, addr, &connection).await)
+                Err(self.on_silence(shared, addr, connection).await)
             }
         }
     }
@@ -160,11 +185,11 @@
         let error = match error {
             RpcError::DeadlineExceeded => Error::new(
                 Kind::DeadlineExceeded,
-                format!("relay {addr} did not answer in time"),
+                format!("host {addr} did not answer in time"),
             ),
             _ => {
                 self.retire(addr, connection);
-                Error::new(Kind::HostLost, format!("relay {addr}: {error}"))
+                Error::new(Kind::HostLost, format!("host {addr}: {error}"))
             }
         };
         let verdict = Verdict::Unknown;
@@ -188,7 +213,7 @@
             Verdict::Silent
         };
         log::warn!(target: "peer", "Connection to {addr} is silent: {verdict:?}.");
-        let error = Error::new(Kind::HostLost, format!("relay {addr} has gone silent"));
+        let error = Error::new(Kind::HostLost, format!("host {addr} has gone silent"));
         Lost { error, verdict }
     }
 
@@ -222,6 +247,12 @@
     }
 }
 
+fn context_until(deadline: Instant) -> Context {
+    let mut context = context::current();
+    context.deadline = deadline;
+    context
+}
+
 async fn connect(shared: &Arc<Shared>, addr: SocketAddr) -> Result<PeerClient> {
     let stream = open(shared, addr).await?;
     Ok(PeerClient::new(Config::default(), transport(stream)).spawn())
@@ -265,8 +296,7 @@
     let stream = open(shared, addr).await?;
     stream.traffic().mark_control();
     let client = PeerClient::new(Config::default(), transport(stream)).spawn();
-    let mut context = context::current();
-    context.deadline = Instant::now() + EXCHANGE_TIMEOUT;
+    let context = context_until(Instant::now() + EXCHANGE_TIMEOUT);
     let answer = client.exchange(context, WireMessage::from(message)).await;
     let answer = answer.map_err(|e| Error::new(Kind::HostLost, format!("{addr}: {e}")))??;
     check_version(answer.protocol_version)?;
@@ -286,8 +316,7 @@
     let stream = open(shared, addr).await?;
     stream.traffic().mark_control();
     let client = PeerClient::new(Config::default(), transport(stream)).spawn();
-    let mut context = context::current();
-    context.deadline = Instant::now() + HELD_TIMEOUT;
+    let context = context_until(Instant::now() + HELD_TIMEOUT);
     let held = client.held(context, revision).await;
     held.map_err(|e| Error::new(Kind::HostLost, format!("{addr}: {e}")))
 }
@@ -316,6 +345,11 @@
         }
     }
 
+    async fn claim(self, _: Context, call: ClaimCall) -> Result<ClaimReply> {
+        check_version(call.protocol_version)?;
+        claims::write_for_peer(&self.shared, call).await
+    }
+
     async fn exchange(self, _: Context, message: WireMessage) -> Result<WireMessage> {
         self.traffic.mark_control();
         check_version(message.protocol_version)?;
--- a/crates/process/store/src/claim.rs
+++ b/crates/process/store/src/claim.rs
@@ -119,6 +119,16 @@
             .map_err(|e| Error::new(Kind::Internal, format!("malformed claim: {e}")))
     }
 
+    /// Returns the attempt that holds the claim, in hexadecimal.
+    pub fn attempt_id(&self) -> &str {
+        &self.attempt_id
+    }
+
+    /// Returns the fingerprint of the request, in hexadecimal.
+    pub fn fingerprint(&self) -> &str {
+        &self.fingerprint
+    }
+
     /// Returns how the request ended, once that is known.
     pub fn outcome(&self) -> Option<&Outcome> {
         self.outcome.as_ref()
@@ -220,17 +230,23 @@
     is_taken: bool,
 }
 
-impl Claiming {
-    /// Creates an attempt to claim.
-    pub fn new(attempt_id: ClaimAttemptId, fingerprint: Fingerprint) -> Self {
+impl From<Claim> for Claiming {
+    fn from(claim: Claim) -> Self {
         Self {
-            claim: Claim::new(attempt_id, fingerprint),
+            claim,
             expected: Expected::Absent,
             writes: 0,
             is_unsettled: false,
             is_taken: false,
         }
     }
+}
+
+impl Claiming {
+    /// Creates an attempt to claim.
+    pub fn new(attempt_id: ClaimAttemptId, fingerprint: Fingerprint) -> Self {
+        Self::from(Claim::new(attempt_id, fingerprint))
+    }
 
     /// Returns the first step.
     pub fn start(&mut self) -> ClaimStep {
--- a/crates/process/store/src/claim_batch.rs
+++ b/crates/process/store/src/claim_batch.rs
@@ -133,6 +133,7 @@
     read: BTreeMap<String, Generation>,
     call: Call,
     sealing: Option<Sealing>,
+    most_lacking: usize,
     writes: u32,
     is_current: bool,
     is_unsettled: bool,
@@ -174,6 +175,12 @@
     }
 }
 
+impl OpenView {
+    fn is_full(&self) -> bool {
+        self.generation.is_full(self.bytes)
+    }
+}
+
 impl Batch {
     /// Creates a batch for a range from what the host knows of it.
     pub fn new(range: ClaimRange, id: BatchId, view: RangeView, ops: Vec<BatchOp>) -> Self {
@@ -185,12 +192,19 @@
             read: BTreeMap::new(),
             call: Call::ReadOpen,
             sealing: None,
+            most_lacking: usize::MAX,
             writes: 0,
             is_current: false,
             is_unsettled: false,
         }
     }
 
+    /// Gives up where more sealed generations than this would have to be read.
+    pub fn with_most_lacking(mut self, most_lacking: usize) -> Self {
+        self.most_lacking = most_lacking;
+        self
+    }
+
     /// Returns what the host knows of the range now.
     pub fn into_view(self) -> RangeView {
         self.view
@@ -282,12 +296,16 @@
         let Some(open) = &self.view.open else {
             return self.read(Call::ReadOpen, open_key(self.range));
         };
-        let mut listed = open.generation.sealed.iter();
-        if let Some(new) = listed.find(|s| !self.view.sealed.contains_key(&s.key)) {
-            let key = new.key.clone();
+        let listed = open.generation.sealed.iter().map(|sealed| &sealed.key);
+        let mut lacking = listed.filter(|key| !self.view.sealed.contains_key(*key));
+        if let Some(key) = lacking.next().cloned() {
+            if lacking.count() >= self.most_lacking {
+                let detail = "this host would have to read too much of the log of claims";
+                return self.give_up(Fault::Unreachable(detail.to_owned()));
+            }
             return self.read(Call::ReadIndex(key.clone()), key);
         }
-        let is_full = Generation::is_full(open.bytes);
+        let is_full = open.is_full();
         let applied = match self.apply(open) {
             Ok(applied) => applied,
             Err(Lacking(key)) => return self.read(Call::ReadSealed(key.clone()), key),
@@ -347,6 +365,7 @@
             ),
             None => (open.generation.clone(), None),
         };
+        let takes_claims = self.takes_claims(open);
         let mut answers = Vec::with_capacity(self.ops.len());
         let mut is_changed = false;
         for op in &self.ops {
@@ -356,7 +375,10 @@
                 Some(found) => Some(found.clone()),
                 None => self.find_sealed(open, op.scope_hash)?,
             };
-            let decision = decide(&op.claim, found);
+            let decision = decide(&op.claim, found).and_then(|decision| {
+                let is_refused = !takes_claims && op.claim.outcome().is_none();
+                decision.unless_refused(is_refused)
+            });
             if matches!(decision, Ok(Decision::Write)) {
                 next.set(op.scope_hash, op.claim.clone(), op.retention);
                 is_changed = true;
@@ -370,6 +392,12 @@
         })
     }
 
+    /// Returns whether the range has room, or may get some when it is sealed.
+    fn takes_claims(&self, open: &OpenView) -> bool {
+        let is_pruned = self.sealing.as_ref().is_some_and(|s| s.is_pruned);
+        !(is_pruned && open.is_full() && open.generation.has_most_sealed())
+    }
+
     fn find_sealed(
         &self,
         open: &OpenView,
@@ -473,6 +501,19 @@
     Finished(crate::Outcome),
 }
 
+impl Decision {
+    /// Returns the decision, or the error of a range that has no room for a write.
+    fn unless_refused(self, is_refused: bool) -> Result<Self> {
+        match self {
+            Self::Write if is_refused => {
+                let detail = "the log of claims is full until older claims outlive their retention";
+                Err(Error::new(Kind::StoreDown, detail).with_ran(Ran::No))
+            }
+            decision => Ok(decision),
+        }
+    }
+}
+
 impl From<Decision> for Claimed<()> {
     fn from(decision: Decision) -> Self {
         match decision {
--- a/crates/process/store/src/claim_log.rs
+++ b/crates/process/store/src/claim_log.rs
@@ -16,8 +16,13 @@
 
 /// Number of ranges, a power of two that every release agrees on.
 pub const CLAIM_RANGES: u8 = 4;
-/// Size from which on a generation takes no further claims, in bytes.
+/// Size of the entries from which on a generation takes no more, in bytes.
 const SEAL_BYTES: usize = 128 * 1024;
+/// Number of sealed generations from which on a range takes no further claims;
+/// their names and a batch still fit into a value of the store.
+const MAX_SEALED: usize = 2_048;
+/// Least size of the name of a sealed generation beside its key, in bytes.
+const SEALED_OVERHEAD_BYTES: usize = 30;
 /// Layout of a generation that this release reads.
 const FORMAT: u32 = 1;
 
@@ -113,9 +118,16 @@
         Bytes::from(serde_json::to_vec(self).unwrap_or_default())
     }
 
-    /// Returns whether a generation of this size takes no further claims.
-    pub(crate) fn is_full(bytes: usize) -> bool {
-        bytes >= SEAL_BYTES
+    /// Returns whether this generation, of `bytes` bytes, takes no more entries.
+    pub(crate) fn is_full(&self, bytes: usize) -> bool {
+        let names = self.sealed.iter();
+        let names = names.map(|sealed| sealed.key.len() + SEALED_OVERHEAD_BYTES);
+        bytes.saturating_sub(names.sum()) >= SEAL_BYTES
+    }
+
+    /// Returns whether the range has as many sealed generations as it may have.
+    pub(crate) fn has_most_sealed(&self) -> bool {
+        self.sealed.len() >= MAX_SEALED
     }
 
     /// Returns the key under which this generation is sealed by `sealer`.
--- a/crates/process/store/tests/claim_batch.rs
+++ b/crates/process/store/tests/claim_batch.rs
@@ -19,6 +19,9 @@
 };
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+const OPEN: &str = "wharf/claims/0/open";
+/// Number of sealed generations from which on a range takes no further claims.
+const MAX_SEALED: usize = 2_048;
 const RETENTION: Duration = Duration::from_secs(3_600);
 /// Size of an answer of which a few fill a generation, in bytes.
 const LARGE_ANSWER_BYTES: usize = 16 * 1024;
@@ -33,7 +36,10 @@
 
 impl Running {
     fn new(id: u128, view: RangeView, ops: Vec<BatchOp>) -> Self {
-        let mut batch = Batch::new(0, id, view, ops);
+        Self::of(Batch::new(0, id, view, ops))
+    }
+
+    fn of(mut batch: Batch) -> Self {
         let step = batch.start();
         Self {
             batch,
@@ -240,6 +246,9 @@
     let known = fill(&mut store, 0..40);
     let sealed = sealed_keys(&store).len();
     assert!((3..=6).contains(&sealed), "{sealed} sealed generations");
+    let fresh = Batch::new(0, 1, RangeView::default(), vec![claim(0, 98)]);
+    let ended = Running::of(fresh.with_most_lacking(sealed - 1)).run(&mut store, &[]);
+    assert_eq!((kinds(&ended), ended.reads), (vec![DOWN], 1));
     for (view, most_reads) in [(known, 1), (RangeView::default(), 2 + sealed as u32)] {
         let resent = run(&mut store, view, vec![claim(0, 99)], &[]);
         assert!(matches!(resent.answers[0], Ok(Claimed::Finished(_))));
@@ -248,20 +257,39 @@
     }
 }
 
-#[test]
-fn a_generation_is_sealed_whole_whatever_is_lost() {
-    // The next claim seals.
-    let seals = |store: &MemoryStore, view: &RangeView| {
-        let next = run(&mut store.clone(), view.clone(), vec![claim(99, 99)], &[]);
-        next.writes == 2
+/// A range whose next claim seals.
+struct Full {
+    store: MemoryStore,
+    view: RangeView,
+    /// Number of its scopes, from 0 on.
+    scopes: u128,
+}
+
+fn about_to_seal() -> Full {
+    let seals = |full: &Full| {
+        let mut store = full.store.clone();
+        run(&mut store, full.view.clone(), vec![claim(99, 99)], &[]).writes == 2
     };
     let fills = (1..).map(|scopes| {
         let mut store = MemoryStore::default();
         let view = fill(&mut store, 0..scopes);
-        (scopes, store, view)
+        Full {
+            store,
+            view,
+            scopes,
+        }
     });
-    let mut full = fills.skip_while(|(_, store, view)| !seals(store, view));
-    let (scopes, whole, known) = full.next().unwrap();
+    let mut full = fills.skip_while(|full| !seals(full));
+    full.next().expect("a full generation")
+}
+
+#[test]
+fn a_generation_is_sealed_whole_whatever_is_lost() {
+    let Full {
+        store: whole,
+        view: known,
+        scopes,
+    } = about_to_seal();
     let faults = [Fate::ReplyLost, Fate::RequestLost, Fate::Down];
     for (at, fate) in (0..4).flat_map(|at| faults.map(|fate| (at, fate))) {
         let mut fates = vec![Fate::Fine; at];
@@ -286,29 +314,63 @@
     let mut store = MemoryStore::default();
     let known = fill(&mut store, 0..20);
     let mut expired = MemoryStore::default();
-    let open = "wharf/claims/0/open";
-    for key in store.keys().filter(|key| *key == open) {
-        let value = store.get(key).unwrap();
-        // The same revision, so that what the host knows is still current.
-        while expired.overwrite(open, value.bytes.clone()) < value.key_revision {}
-    }
+    let value = store.get(OPEN).unwrap();
+    // The same revision, so that what the host knows is still current.
+    while expired.overwrite(OPEN, value.bytes.clone()) < value.key_revision {}
     for view in [known, RangeView::default()] {
         let mut store = expired.clone();
         let again = run(&mut store, view, vec![claim(0, 99)], &[]);
         assert_eq!(again.answers, [Ok(Claimed::Won(()))]);
     }
     fill(&mut expired, 100..140);
-    let value = expired.get(open).unwrap();
+    let value = expired.get(OPEN).unwrap();
     let text = String::from_utf8_lossy(&value.bytes).into_owned();
     let named = text.matches("wharf/claims/0/").count();
     assert_eq!(named, sealed_keys(&expired).len());
 }
 
+/// Names sealed generations that no key holds, the newest ones, up to `count`.
+fn name_sealed(store: &mut MemoryStore, count: usize) {
+    let value = store.get(OPEN).expect("an open generation");
+    let mut open: serde_json::Value = serde_json::from_slice(&value.bytes).expect("valid JSON");
+    let names = open["sealed"].as_array_mut().expect("a list");
+    for i in names.len()..count {
+        let key = format!("wharf/claims/0/{i}-{}", "0".repeat(32));
+        names.push(serde_json::json!({ "key": key, "retention_s": 3_600 }));
+    }
+    store.overwrite(OPEN, open.to_string().into());
+}
+
+#[test]
+fn a_range_without_room_refuses_claims_and_records_outcomes() {
+    let full = about_to_seal().store;
+    let cases = [
+        (MAX_SEALED - 1, true, None),
+        (MAX_SEALED, true, DOWN),
+        (MAX_SEALED, false, None),
+    ];
+    for (sealed, is_oldest_kept, refusal) in cases {
+        let mut store = full.clone();
+        name_sealed(&mut store, sealed);
+        if is_oldest_kept {
+            let oldest = format!("wharf/claims/0/0-{}", "0".repeat(32));
+            let bytes = store.get(OPEN).expect("an open generation").bytes;
+            store.overwrite(&oldest, bytes);
+        }
+        let ops = vec![claim(99, 99)];
+        let ended = run(&mut store, RangeView::default(), ops, &[]);
+        assert_eq!(kinds(&ended), [refusal], "{sealed} {is_oldest_kept}");
+        let ops = vec![claim(98, 98), record(97, 1, outcome(Ran::Yes, 1))];
+        let ended = run(&mut store, ended.view, ops, &[]);
+        assert_eq!(kinds(&ended), [refusal, None], "{sealed} {is_oldest_kept}");
+    }
+}
+
 #[test]
 fn a_log_that_cannot_be_read_lets_nobody_through() {
     for bytes in ["{", r#"{"format":2}"#] {
         let mut store = MemoryStore::default();
-        store.overwrite("wharf/claims/0/open", bytes.into());
+        store.overwrite(OPEN, bytes.into());
         let ended = run(&mut store, RangeView::default(), vec![claim(1, 1)], &[]);
         assert_eq!(kinds(&ended), [Some((Kind::Internal, Ran::No))]);
     }
--- a/crates/version/record/src/in_force.rs
+++ b/crates/version/record/src/in_force.rs
@@ -4,7 +4,9 @@
 //! configuration never reaches into a query in flight.
 
 use {
-    crate::{Bundle, Head, HeadEntry, Record, RecordVersion, Revision, Route, Service},
+    crate::{
+        Bundle, ClaimPlaces, Head, HeadEntry, Record, RecordVersion, Revision, Route, Service,
+    },
     kind::{Error, Kind, Result},
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -98,6 +100,13 @@
         })
     }
 
+    /// Returns where the claims of a route stand, whichever of its versions is asked for.
+    pub fn claim_places(&self, route: &str) -> ClaimPlaces {
+        let versions = self.routes.get(route).into_iter().flatten();
+        let claiming = versions.filter(|(_, route)| !route.repeatable);
+        ClaimPlaces::of(claiming.map(|(_, route)| route.claim_writes))
+    }
+
     /// Finds the newest record of a service.
     ///
     /// # Errors
--- a/crates/version/record/src/lib.rs
+++ b/crates/version/record/src/lib.rs
@@ -35,7 +35,7 @@
         RawCoverage, RawFloors, RawHedge, RawIndex, RawRecord, RawRoute, RawServer, RawService,
         RawShard,
     },
-    route::{Coverage, Hedge, Route, WhenShort},
+    route::{ClaimPlaces, ClaimWrites, Coverage, Hedge, Route, WhenShort},
     service::{Index, Server, Service, Shard},
 };
 
--- a/crates/version/record/src/raw.rs
+++ b/crates/version/record/src/raw.rs
@@ -64,6 +64,18 @@
     /// Time for which claims of idempotency keys are kept, in hours.
     #[serde(default = "default_retention_hours")]
     pub claim_retention_hours: u64,
+    /// How claims of idempotency keys are written: `single` or `batched`.
+    // Left out when it is the default, because former releases do not know it.
+    #[serde(default = "single_claims", skip_serializing_if = "is_single_claims")]
+    pub claims: String,
+}
+
+pub(crate) fn single_claims() -> String {
+    "single".to_owned()
+}
+
+fn is_single_claims(claims: &String) -> bool {
+    claims == "single"
 }
 
 pub(crate) fn default_retention_hours() -> u64 {
--- a/crates/version/record/src/raw_v1.rs
+++ b/crates/version/record/src/raw_v1.rs
@@ -99,6 +99,7 @@
             hedge: RawHedge::default(),
             floors: RawFloors::default(),
             claim_retention_hours: crate::raw::default_retention_hours(),
+            claims: crate::raw::single_claims(),
         })
     }
 }
--- a/crates/version/record/src/route.rs
+++ b/crates/version/record/src/route.rs
@@ -33,6 +33,59 @@
     pub floor_share: ByRank<f64>,
     /// Time for which claims of idempotency keys are kept.
     pub claim_retention: Duration,
+    /// How claims of idempotency keys are written.
+    pub claim_writes: ClaimWrites,
+}
+
+/// How a version of a route writes claims of idempotency keys.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimWrites {
+    /// Each claim is a key of its own.
+    Single,
+    /// Many claims share one write of the claim log.
+    Batched,
+}
+
+/// Where the claims of a route stand, whichever of its versions is asked for.
+///
+/// Versions share the claims of their route. While they differ in how they
+/// write claims, a request must win both ways, so that no host and no resend
+/// that knows of one way only lets it run twice.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimPlaces {
+    /// A key for each claim.
+    Keys,
+    /// A key for each claim, and the claim log.
+    KeysAndLog,
+    /// The claim log.
+    Log,
+}
+
+impl ClaimPlaces {
+    /// Returns the places for the versions of one route.
+    pub(crate) fn of(versions: impl Iterator<Item = ClaimWrites>) -> Self {
+        let mut has_single = false;
+        let mut has_batched = false;
+        for writes in versions {
+            has_single |= writes == ClaimWrites::Single;
+            has_batched |= writes == ClaimWrites::Batched;
+        }
+        match (has_single, has_batched) {
+            (_, false) => Self::Keys,
+            (true, true) => Self::KeysAndLog,
+            (false, true) => Self::Log,
+        }
+    }
+
+    /// Returns whether each claim has a key of its own.
+    pub fn has_keys(self) -> bool {
+        self != Self::Log
+    }
+
+    /// Returns whether claims stand in the claim log.
+    pub fn has_log(self) -> bool {
+        self != Self::Keys
+    }
 }
 
 /// Demands of a route on coverage.
@@ -100,6 +153,7 @@
             hedge: Hedge::try_from(body.hedge)?,
             floor_share: checked_floors(&body.floors)?,
             claim_retention: Duration::from_secs(body.claim_retention_hours * 3_600),
+            claim_writes: checked_writes(&body.claims)?,
         })
     }
 }
@@ -139,6 +193,17 @@
     }
 }
 
+fn checked_writes(claims: &str) -> Result<ClaimWrites> {
+    match claims {
+        "single" => Ok(ClaimWrites::Single),
+        "batched" => Ok(ClaimWrites::Batched),
+        other => Err(bad_field(
+            "route.claims",
+            format!("'{other}' is none of single, batched"),
+        )),
+    }
+}
+
 fn checked_floors(raw: &RawFloors) -> Result<ByRank<f64>> {
     let floors = ByRank::from_fn(|rank| match rank {
         Rank::Urgent => raw.urgent,
--- a/crates/version/record/tests/schema.rs
+++ b/crates/version/record/tests/schema.rs
@@ -2,7 +2,9 @@
 
 use {
     kind::Kind,
-    record::{RawRecord, Record, WhenShort, MAX_RECORD_BYTES},
+    record::{
+        ClaimPlaces, Head, HeadEntry, InForce, RawRecord, Record, WhenShort, MAX_RECORD_BYTES,
+    },
 };
 
 const SERVICE_V1: &str = r#"
@@ -83,6 +85,62 @@
     assert!(Record::from_json(&format!("{text} more")).is_err());
 }
 
+const BOOKING: &str = r#"
+schema_version = 2
+name = "tow-slot"
+version = 1
+[route]
+service = "restock-desk"
+repeatable = false
+default_deadline_ms = 100
+max_deadline_ms = 1000
+claims = "batched"
+"#;
+
+/// Returns the version `version` of the booking route with its way of claiming.
+fn booking(version: u32, claims: &str) -> RawRecord {
+    let version = format!("version = {version}\n[route]");
+    let text = BOOKING.replace("version = 1\n[route]", &version);
+    RawRecord::from_toml(&text.replace("batched", claims)).expect("a valid record")
+}
+
+#[test]
+fn the_former_release_reads_a_route_that_claims_as_it_does() {
+    assert!(!booking(1, "single").to_json().contains("claims"));
+    assert!(booking(1, "batched").to_json().contains("claims"));
+}
+
+#[test]
+fn versions_that_claim_in_different_ways_claim_in_both() {
+    let cases: &[(&[&str], ClaimPlaces)] = &[
+        (&[], ClaimPlaces::Keys),
+        (&["single"], ClaimPlaces::Keys),
+        (&["single", "batched"], ClaimPlaces::KeysAndLog),
+        (&["batched", "single"], ClaimPlaces::KeysAndLog),
+        (&["batched", "batched"], ClaimPlaces::Log),
+    ];
+    for (versions, wanted) in cases {
+        let numbered = (1..).zip(*versions);
+        let raws: Vec<_> = numbered.map(|(i, claims)| booking(i, claims)).collect();
+        let records = raws.into_iter().map(Record::try_from);
+        let mut records = records.collect::<Result<Vec<_>, _>>().unwrap();
+        let head = Head {
+            entries: records.iter().map(entry).collect(),
+            ..Head::default()
+        };
+        let in_force = InForce::build(&head, |_| Ok(records.remove(0))).unwrap();
+        assert_eq!(in_force.claim_places("tow-slot"), *wanted, "{versions:?}");
+    }
+}
+
+fn entry(record: &Record) -> HeadEntry {
+    HeadEntry {
+        id: record.id(),
+        body_key: String::new(),
+        revision: 1,
+    }
+}
+
 struct BadCase {
     from: &'static str,
     replaced: &'static str,
@@ -91,6 +149,12 @@
 }
 
 const BAD_CASES: &[BadCase] = &[
+    BadCase {
+        from: BOOKING,
+        replaced: "batched",
+        by: "none",
+        path: "route.claims",
+    },
     BadCase {
         from: ROUTE_V1,
         replaced: "min_coverage_percent",
