--- a/crates/process/store/src/lib.rs
+++ b/crates/process/store/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod body;
 mod claim;
+mod claim_batch;
+mod claim_log;
 mod commit;
 mod history;
 mod http;
@@ -16,8 +18,13 @@
     body::Body,
     claim::{
         claim, fingerprint, record_outcome, Claim, ClaimAttemptId, ClaimEvent, ClaimScope,
-        ClaimStep, Claimed, Claiming, Fingerprint, Outcome, Won, MAX_KEPT_ANSWER_BYTES,
+        ClaimStep, Claimed, Claiming, Fingerprint, Outcome, ScopeHash, Won, MAX_KEPT_ANSWER_BYTES,
     },
+    claim_batch::{
+        run_batch, Batch, BatchAnswer, BatchEnd, BatchEvent, BatchId, BatchOp, BatchStep, Leases,
+        RangeView,
+    },
+    claim_log::{claim_range, ClaimRange, CLAIM_RANGES},
     commit::{commit, Commit, CommitEvent, CommitStep, Committed, KEPT_FOR},
     history::{body_key_at, find_operation, load_history, MAX_HISTORY},
     http::HttpPlatform,
