Answer malformed administration requests by kind

Cause: paths, query strings and bodies that the library's extractors refuse got plain text without a kind ('Invalid URL: Cannot parse value at index 1 with value `x` to a `u32`'), found by trying the administration API of the all-in-one example with curl. The same tour found that a rollback to a revision that does not exist yet (99 of 4) was accepted and made a new revision.

A rollback to a revision above the newest is `unknown-record`. `x-wharf-repeat: false` no longer counts as a repeat.

Ruled out: a middleware that rewrites plain text answers (it would have to guess the kind).

Failed first: 'GET records/shortfall/x: ... expected value at line 1 column 1' (no JSON); then 'POST records/shortfall/1/rollback?to_revision=9: {"accepted":true,"revision":3...'.

--- a/crates/bin/wharf/tests/records.rs
+++ b/crates/bin/wharf/tests/records.rs
@@ -414,6 +414,68 @@
     },
 ];
 
+/// Requests whose path or query string is malformed or names nothing, with their kinds.
+const MALFORMED: &str = "
+    GET records/shortfall/x bad-parameter
+    GET records/shortfall/99999999999 bad-parameter
+    GET records/shortfall not-found
+    GET records/shortfall/1?kind=other bad-parameter
+    DELETE records/shortfall/1?kind=other bad-parameter
+    DELETE records/shortfall/9 unknown-record
+    POST records/shortfall/1 bad-method
+    POST records/shortfall/1/rollback bad-parameter
+    POST records/shortfall/1/rollback?to_revision=x bad-parameter
+    POST records/shortfall/1/rollback?to_revision=9 unknown-record
+    GET records/shortfall/9/in-force unknown-record
+    GET history?limit=-1 bad-parameter
+    GET in-force bad-parameter
+    GET explain/shortfall?version=x bad-parameter
+    GET explain/shortfall?version=9 unknown-version
+";
+
+/// Bodies that are no text or too long to be read, with their kinds.
+const BAD_BODIES: &[(&[u8], &str)] = &[
+    (b"\xff\xfe", "bad-body"),
+    (b"", "bad-record"),
+    (&[b' '; 2_500_000], "record-too-large"),
+];
+
+async fn check_malformed(path: &Path) -> Result<()> {
+    for line in MALFORMED.trim().lines() {
+        let mut words = line.split_whitespace();
+        let method = words.next().context("method")?.parse()?;
+        let uri = words.next().context("path")?;
+        refused(path, method, uri, b"", words.next().context("kind")?).await?;
+    }
+    for (body, kind) in BAD_BODIES {
+        refused(path, Method::PUT, "records/shortfall/1", body, kind).await?;
+    }
+    Ok(())
+}
+
+async fn refused(
+    path: &Path,
+    method: Method,
+    uri: &str,
+    body: &'static [u8],
+    kind: &str,
+) -> Result<()> {
+    let token = format!("Bearer {ADMIN_TOKEN}");
+    let headers = [("authorization", token.as_str())];
+    let addr = path.hosts[0].admin_addr;
+    let full = format!("/v1/admin/{uri}");
+    let what = format!("{method} {uri}");
+    let answer = path
+        .client
+        .send(method, addr, &full, &headers, body)
+        .await?;
+    let problem: serde_json::Value =
+        serde_json::from_str(&answer.text).with_context(|| format!("{what}: {}", answer.text))?;
+    assert_eq!(problem["kind"], *kind, "{what}: {problem}");
+    assert_eq!(problem["ran"], "no", "{what}: {problem}");
+    Ok(())
+}
+
 #[tokio::test]
 async fn bad_input_gets_its_own_kind_and_changes_nothing() -> Result<()> {
     let path = start(1).await?;
@@ -434,6 +496,7 @@
         assert_eq!(answer.json()["kind"], case.kind, "{}", case.what);
         assert_eq!(answer.json()["ran"], "no", "{}", case.what);
     }
+    check_malformed(&path).await?;
     let after = get(&path, 0, "/v1/admin/records").await?.text;
     ensure!(before == after, "{before} became {after}");
     Ok(())
--- a/crates/process/host/src/admin/explain.rs
+++ b/crates/process/host/src/admin/explain.rs
@@ -1,11 +1,12 @@
 //! The plan of a query, as this host would make it now.
 
 use {
-    crate::{entry::Problem, shared::Shared},
-    axum::{
-        extract::{Path, Query, State},
-        Json,
+    crate::{
+        admin::extract::{Path, Query},
+        entry::Problem,
+        shared::Shared,
     },
+    axum::{extract::State, Json},
     kind::{Error, Kind, Result},
     plan::Pin,
     record::{
--- a/crates/process/host/src/admin/headers.rs
+++ b/crates/process/host/src/admin/headers.rs
@@ -45,7 +45,10 @@
 
 /// Tells whether an earlier call of the same operation may have committed it.
 pub(crate) fn is_repeat(headers: &HeaderMap) -> bool {
-    headers.contains_key(REPEAT_HEADER)
+    // Whoever sends anything else is not sure that it is the first call.
+    headers
+        .get(REPEAT_HEADER)
+        .is_some_and(|value| value != "false")
 }
 
 /// Reads what the operator expects to find.
--- a/crates/process/host/src/admin/in_force.rs
+++ b/crates/process/host/src/admin/in_force.rs
@@ -7,15 +7,17 @@
 //! still on its way, and no answer of a few would settle that.
 
 use {
-    crate::{entry::Problem, peer, shared::Shared},
-    axum::{
-        extract::{Path, Query, State},
-        Json,
+    crate::{
+        admin::extract::{Path, Query, RecordPath},
+        entry::Problem,
+        peer,
+        shared::Shared,
     },
+    axum::{extract::State, Json},
     fleet::Member,
     futures::future::join_all,
     kind::{Error, Kind, Result},
-    record::{HeadEntry, HeadId, HostId, RecordVersion, Revision},
+    record::{HeadEntry, HeadId, HostId, Revision},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
     store::load_head,
@@ -66,7 +68,7 @@
 /// States where the newest change of a record is in force.
 pub(crate) async fn get(
     State(shared): State<Arc<Shared>>,
-    Path((name, version)): Path<(String, RecordVersion)>,
+    Path(RecordPath { name, version }): Path<RecordPath>,
 ) -> Result<Json<InForceStated>, Problem> {
     let is_wanted = |entry: &&HeadEntry| entry.id.name == name && entry.id.version == version;
     let held = shared.in_force();
--- a/crates/process/host/src/admin/mod.rs
+++ b/crates/process/host/src/admin/mod.rs
@@ -2,6 +2,7 @@
 
 mod auth;
 mod explain;
+mod extract;
 mod headers;
 mod in_force;
 mod records;
--- a/crates/process/host/src/admin/records.rs
+++ b/crates/process/host/src/admin/records.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         admin::{
+            extract::{Path, Query, RecordPath, Text},
             headers::{head_tag, is_repeat, precondition, record_tag, stamp},
             in_force::find_newer,
         },
@@ -11,7 +12,7 @@
         shared::Shared,
     },
     axum::{
-        extract::{Path, Query, State},
+        extract::State,
         http::HeaderMap,
         response::{IntoResponse, Response},
         Json,
@@ -67,9 +68,6 @@
     record: Box<RawValue>,
 }
 
-/// Path of a record.
-type RecordPath = Path<(String, RecordVersion)>;
-
 /// Lists the records of the newest head.
 pub(crate) async fn list(State(shared): State<Arc<Shared>>) -> Result<Response, Problem> {
     let (head, _) = load_head(&shared.platform).await?;
@@ -80,7 +78,7 @@
 /// Shows one record of the newest head.
 pub(crate) async fn get(
     State(shared): State<Arc<Shared>>,
-    Path((name, version)): RecordPath,
+    Path(RecordPath { name, version }): Path<RecordPath>,
     Query(query): Query<KindQuery>,
 ) -> Result<Response, Problem> {
     let (head, _) = load_head(&shared.platform).await?;
@@ -100,9 +98,9 @@
 /// Commits a record.
 pub(crate) async fn put(
     State(shared): State<Arc<Shared>>,
-    Path((name, version)): RecordPath,
+    Path(RecordPath { name, version }): Path<RecordPath>,
     headers: HeaderMap,
-    body: String,
+    Text(body): Text,
 ) -> Result<Json<Accepted>, Problem> {
     let raw = RawRecord::from_json(&body)?;
     if raw.name != name || raw.version != version {
@@ -118,7 +116,7 @@
 /// Takes a record out of force.
 pub(crate) async fn retire(
     State(shared): State<Arc<Shared>>,
-    Path((name, version)): RecordPath,
+    Path(RecordPath { name, version }): Path<RecordPath>,
     Query(query): Query<KindQuery>,
     headers: HeaderMap,
 ) -> Result<Json<Accepted>, Problem> {
@@ -137,7 +135,7 @@
 /// Brings an earlier body of a record into force again, as a new revision.
 pub(crate) async fn roll_back(
     State(shared): State<Arc<Shared>>,
-    Path((name, version)): RecordPath,
+    Path(RecordPath { name, version }): Path<RecordPath>,
     Query(query): Query<RollBackQuery>,
     headers: HeaderMap,
 ) -> Result<Json<Accepted>, Problem> {
@@ -249,7 +247,7 @@
 /// Lists the last operations on one record, the newest first.
 pub(crate) async fn record_history(
     State(shared): State<Arc<Shared>>,
-    Path((name, version)): RecordPath,
+    Path(RecordPath { name, version }): Path<RecordPath>,
     Query(query): Query<HistoryQuery>,
 ) -> Result<Json<Vec<Operation>>, Problem> {
     let limit = query.limit.unwrap_or(MAX_HISTORY);
--- a/crates/process/kind/src/table.rs
+++ b/crates/process/kind/src/table.rs
@@ -65,6 +65,8 @@
     BadVersion, "bad-version", 400, No, "Malformed record version";
     /// The idempotency key is missing, malformed or too long.
     BadKey, "bad-idempotency-key", 400, No, "Malformed idempotency key";
+    /// A parameter of the path or of the query string is missing or malformed.
+    BadParameter, "bad-parameter", 400, No, "Malformed parameter";
     /// The body is not valid.
     BadBody, "bad-body", 400, No, "Malformed body";
     /// The body is larger than the limit.
--- a/crates/process/store/src/history.rs
+++ b/crates/process/store/src/history.rs
@@ -68,7 +68,7 @@
 /// # Errors
 ///
 /// Returns [`Kind::StoreDown`], or [`Kind::UnknownRecord`] if the record had
-/// no body then or the revision lies too far back.
+/// no body then or the revision lies too far back or in the future.
 pub async fn body_key_at<P: Platform>(
     platform: &P,
     id: &RecordId,
@@ -79,8 +79,13 @@
     if let Some(key) = direct.and_then(|operation| operation.body_key) {
         return Ok(key);
     }
-    load_history(platform, MAX_HISTORY)
-        .await?
+    let history = load_history(platform, MAX_HISTORY).await?;
+    let newest = history.first().map_or(0, |operation| operation.revision);
+    if revision > newest {
+        let detail = format!("revision {revision} does not exist, the newest is {newest}");
+        return Err(Error::new(Kind::UnknownRecord, detail));
+    }
+    history
         .into_iter()
         .find(|o| o.revision <= revision && o.subject.as_ref() == Some(id))
         .and_then(|operation| operation.body_key)
