Give wharfctl exit codes, checked arguments and JSON throughout

Failures have a type with exit codes 1, 3 (conflict), 4 (outcome not known) and 5 (accepted, not in force everywhere); 2 stays for usage. `--help` lists the codes and has an example for each command.

Ruled out: an exit code for each kind (scripts need to know whether to repeat, to look again or to give up; the kind is in the JSON).

Failed first, with the old wharfctl: 'check no-such.toml FILE' stopped at the first file. Of the old codes only 0, 1 and 2 were in use.

--- a/crates/bin/wharf/tests/records.rs
+++ b/crates/bin/wharf/tests/records.rs
@@ -46,7 +46,14 @@
 fn wharfctl(path: &Path, host: usize, arguments: &[&str]) -> Result<String> {
     let admin = format!("--admin-addr={}", path.hosts[host].admin_addr);
     let token = format!("--admin-token={ADMIN_TOKEN}");
-    let mut all = vec![admin.as_str(), token.as_str()];
+    let mut all = Vec::new();
+    // A flag may be given once only, so what a test gives itself comes alone.
+    for flag in [&admin, &token] {
+        let name = flag.split('=').next().unwrap_or_default();
+        if !arguments.contains(&name) {
+            all.push(flag.as_str());
+        }
+    }
     all.extend_from_slice(arguments);
     run_program("wharfctl", &all)
 }
@@ -414,6 +421,99 @@
     },
 ];
 
+/// Commands that fail, with their exit codes and what they say; FILE is a good record.
+const FAILING: &[(&[&str], u8, &str)] = &[
+    (
+        &["check", "no-such.toml", "FILE"],
+        1,
+        "1 of 2 files are invalid",
+    ),
+    (
+        &["put", "FILE", "--if-match", "1"],
+        3,
+        "Another change came first",
+    ),
+    (
+        &["put", "FILE", "--operator", "a b"],
+        2,
+        "'--operator <operator>': allowed are 1 to 64",
+    ),
+    (
+        &["records", "--admin-token", "wrong"],
+        1,
+        "set --admin-token or WHARF_ADMIN_TOKEN",
+    ),
+    (
+        &["records", "--admin-addr", "nowhere"],
+        2,
+        "needed is a host with a port",
+    ),
+    (
+        &["put", "FILE", "--admin-addr", "127.0.0.1:1"],
+        1,
+        "nothing was sent",
+    ),
+    (&["retire", "No Such", "1"], 2, "'No Such' is not a name"),
+    (
+        &["retire", "other", "1", "--json"],
+        1,
+        r#""kind":"unknown-record""#,
+    ),
+    (
+        &["retire", "other", "1", "--operation-id", "lost"],
+        4,
+        "no record other/1",
+    ),
+    (
+        &["rollback", "shortfall", "1", "--to", "9"],
+        1,
+        "revision 9 does not exist",
+    ),
+    (&["history", "--limit", "1000"], 2, "1000 is not in 1..=256"),
+];
+
+#[tokio::test]
+async fn wharfctl_fails_with_a_code_for_scripts_and_a_line_for_people() -> Result<()> {
+    let mut path = start(2).await?;
+    let file = write_file("failing.toml", &route(1_000))?;
+    let name = file.to_string_lossy().into_owned();
+    let with_file = |argument: &&'static str| match *argument {
+        "FILE" => name.clone(),
+        other => other.to_owned(),
+    };
+    for (arguments, code, text) in FAILING {
+        let arguments: Vec<_> = arguments.iter().map(with_file).collect();
+        fails(&path, &arguments, *code, text)?;
+    }
+    path.hosts[1].process.kill();
+    let wait = ["put", &name, "--wait", "--wait-timeout-ms=1"].map(str::to_owned);
+    fails(
+        &path,
+        &wait,
+        5,
+        "accepted, but in force on 1 of 2 hosts, lagging: host-1",
+    )?;
+    let diff = wharfctl(&path, 0, &["diff", "--json", &name])?;
+    assert!(diff.contains(r#""changes":[]"#), "{diff}");
+    assert!(wharfctl(&path, 0, &["fleet"])?.contains("1 of 2 hosts"));
+    fs::remove_file(file)?;
+    Ok(())
+}
+
+fn fails(path: &Path, arguments: &[String], code: u8, text: &str) -> Result<()> {
+    let all: Vec<_> = arguments.iter().map(String::as_str).collect();
+    let outcome = wharfctl(path, 0, &all);
+    let error = outcome.err().with_context(|| format!("{all:?} passed"))?;
+    let error = format!("{error:#}");
+    ensure!(
+        error.contains(&format!("exit status: {code}:")),
+        "{all:?}: {error}"
+    );
+    ensure!(error.contains(text), "{all:?}: {error}");
+    ensure!(!error.contains("Stack backtrace"), "{all:?}: {error}");
+    Ok(())
+}
+
 /// Requests whose path or query string is malformed or names nothing, with their kinds.
 const MALFORMED: &str = "
     GET records/shortfall/x bad-parameter
--- a/crates/bin/wharfctl/src/api.rs
+++ b/crates/bin/wharfctl/src/api.rs
@@ -1,6 +1,7 @@
 //! Calls to the HTTP interfaces of a host.
 
 use {
+    crate::failure::Failure,
     anyhow::{anyhow, Context, Error, Result},
     clap::ArgMatches,
     http::{header, request::Builder, Method, Request, StatusCode},
@@ -10,7 +11,6 @@
         client::legacy::{connect::HttpConnector, Client},
         rt::TokioExecutor,
     },
-    serde::Deserialize,
 };
 
 /// Client of the administration API of one host.
@@ -79,14 +79,6 @@
     pub(crate) text: String,
 }
 
-/// A problem document, as far as people read it.
-#[derive(Deserialize)]
-struct Problem {
-    title: String,
-    detail: String,
-    kind: String,
-}
-
 impl Reply {
     /// Returns the body.
     ///
@@ -102,8 +94,8 @@
 
     /// Returns the refusal as an error for people.
     pub(crate) fn error(&self) -> Error {
-        match serde_json::from_str::<Problem>(&self.text) {
-            Ok(problem) => anyhow!("{}: {} ({})", problem.title, problem.detail, problem.kind),
+        match serde_json::from_str(&self.text) {
+            Ok(problem) => Failure::Refused(problem).into(),
             Err(_) => anyhow!("{}: {}", self.status, self.text),
         }
     }
@@ -129,10 +121,14 @@
 ) -> Result<Reply> {
     let request = request.body(Full::new(Bytes::from(body)))?;
     let uri = request.uri().clone();
-    let response = client
-        .request(request)
-        .await
-        .with_context(|| format!("{uri} does not answer"))?;
+    let response = client.request(request).await.map_err(|error| {
+        let is_unsent = error.is_connect();
+        let error = Error::from(error).context(format!("{uri} does not answer"));
+        match is_unsent {
+            true => Failure::Unreachable(format!("{error:#}")).into(),
+            false => error,
+        }
+    })?;
     let status = response.status();
     let bytes = response.into_body().collect().await?.to_bytes();
     let text = String::from_utf8_lossy(&bytes).into_owned();
--- a/crates/bin/wharfctl/src/change.rs
+++ b/crates/bin/wharfctl/src/change.rs
@@ -6,7 +6,9 @@
 use {
     crate::{
         api::{Api, Call},
-        check, in_force,
+        check,
+        failure::Failure,
+        in_force,
     },
     anyhow::{bail, Context, Result},
     clap::ArgMatches,
@@ -174,24 +176,31 @@
         body: change.body,
         headers: headers(matches, &operation_id),
     };
-    if matches.contains_id("operation-id") {
-        call.headers.push(repeat_header());
-    }
+    // Whether a call may have reached a host; a repeat says so.
+    let mut may_have_run = matches.contains_id("operation-id");
     for attempt in 1..=MAX_CALLS {
+        if may_have_run {
+            call.headers.retain(|header| *header != repeat_header());
+            call.headers.push(repeat_header());
+        }
         let failure = match api.send(&call).await {
             Ok(reply) if reply.status.is_success() => return Ok(reply.text),
             Ok(reply) if may_repeat(reply.status) => reply.error(),
             Ok(reply) => return Err(reply.error()),
             Err(error) => error,
         };
-        if attempt == MAX_CALLS {
-            return Err(failure.context(format!(
-                "outcome unknown; repeat with --operation-id {operation_id}"
-            )));
+        let is_unsent = matches!(failure.downcast_ref(), Some(Failure::Unreachable(_)));
+        if is_unsent && !may_have_run {
+            return Err(failure);
+        }
+        may_have_run = true;
+        if attempt < MAX_CALLS {
+            eprintln!("{failure:#}; repeating operation {operation_id}");
+            sleep(REPEAT_PAUSE * attempt).await;
+            continue;
         }
-        eprintln!("{failure:#}; repeating operation {operation_id}");
-        sleep(REPEAT_PAUSE * attempt).await;
-        call.headers.push(repeat_header());
+        let last = format!("{failure:#}");
+        return Err(Failure::OutcomeUnknown { operation_id, last }.into());
     }
     bail!("no call was made")
 }
--- a/crates/bin/wharfctl/src/command.rs
+++ b/crates/bin/wharfctl/src/command.rs
@@ -1,7 +1,11 @@
 //! The definition of the command line.
 
 use {
-    crate::record_command,
+    crate::{
+        argument::{host_addr, record_name},
+        failure::EXIT_CODES,
+        record_command,
+    },
     clap::{value_parser, Arg, ArgAction, Command},
     std::net::SocketAddr,
 };
@@ -13,11 +17,17 @@
         .about("Operates a fleet of wharf hosts")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .after_help(format!(
+            "Examples:\n  wharfctl check service.toml route.toml\n  \
+             wharfctl put service.toml route.toml --wait\n  \
+             wharfctl --admin-addr 10.0.0.7:7002 --json records\n\n{EXIT_CODES}"
+        ))
         .arg(
             Arg::new("admin-addr")
                 .long("admin-addr")
                 .env("WHARF_ADMIN_ADDR")
                 .default_value("127.0.0.1:7002")
+                .value_parser(host_addr)
                 .global(true)
                 .help("Address for operators of any host"),
         )
@@ -35,10 +45,14 @@
                 .long("json")
                 .action(ArgAction::SetTrue)
                 .global(true)
-                .help("Prints answers as JSON in place of tables"),
+                .help("Prints JSON for scripts, one document a line; failures go to stderr as JSON too"),
         )
         .subcommands(record_command::commands())
-        .subcommand(Command::new("fleet").about("Shows the fleet as one host knows it"))
+        .subcommand(
+            Command::new("fleet")
+                .about("Shows the fleet as one host knows it")
+                .after_help("Example: wharfctl fleet --admin-addr 10.0.0.7:7002"),
+        )
         .subcommand(query())
         .subcommand(load())
 }
@@ -46,7 +60,13 @@
 fn query() -> Command {
     Command::new("query")
         .about("Sends one query and prints the answer")
-        .arg(Arg::new("route").required(true).help("Name of the route"))
+        .after_help("Example: wharfctl query shortfall '{\"item\":\"barrel\"}' --rank urgent")
+        .arg(
+            Arg::new("route")
+                .required(true)
+                .value_parser(record_name)
+                .help("Name of the route"),
+        )
         .arg(
             Arg::new("body")
                 .default_value("{}")
@@ -57,6 +77,7 @@
                 .long("entry-addr")
                 .env("WHARF_ENTRY_ADDR")
                 .default_value("127.0.0.1:7000")
+                .value_parser(host_addr)
                 .help("Address for callers of any host"),
         )
         .arg(
@@ -92,7 +113,12 @@
              name = \"calm\"\n  duration_ms = 5000\n  urgent_per_s = 20\n  routine_per_s = 50\n  \
              background_per_s = 50",
         )
-        .arg(Arg::new("route").required(true).help("Name of the route"))
+        .arg(
+            Arg::new("route")
+                .required(true)
+                .value_parser(record_name)
+                .help("Name of the route"),
+        )
         .arg(
             Arg::new("entry")
                 .long("entry")
--- a/crates/bin/wharfctl/src/in_force.rs
+++ b/crates/bin/wharfctl/src/in_force.rs
@@ -4,8 +4,9 @@
     crate::{
         api::{Api, Call},
         change::Target,
+        failure::Failure,
     },
-    anyhow::{bail, Context, Result},
+    anyhow::{Context, Result},
     clap::ArgMatches,
     serde::Deserialize,
     std::time::{Duration, Instant},
@@ -106,7 +107,7 @@
             return Ok(());
         }
         if Instant::now() >= until {
-            bail!("accepted, but {}", in_force.sentence());
+            return Err(Failure::NotEverywhere(in_force.sentence()).into());
         }
         sleep(pause).await;
         pause = (pause * 2).min(MAX_LOOK_PAUSE);
--- a/crates/bin/wharfctl/src/main.rs
+++ b/crates/bin/wharfctl/src/main.rs
@@ -1,9 +1,11 @@
 //! The operators' command line.
 
 mod api;
+mod argument;
 mod change;
 mod check;
 mod command;
+mod failure;
 mod in_force;
 mod load;
 mod query;
@@ -11,11 +13,18 @@
 mod records;
 mod table;
 
-use anyhow::Result;
+use {anyhow::Result, clap::ArgMatches, std::process::ExitCode};
 
 #[tokio::main]
-async fn main() -> Result<()> {
+async fn main() -> ExitCode {
     let matches = command::command().get_matches();
+    match run(&matches).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => failure::report(&error, matches.get_flag("json")),
+    }
+}
+
+async fn run(matches: &ArgMatches) -> Result<()> {
     match matches.subcommand() {
         Some(("check", matches)) => check::run(matches),
         Some(("diff", matches)) => records::diff(matches).await,
--- a/crates/bin/wharfctl/src/record_command.rs
+++ b/crates/bin/wharfctl/src/record_command.rs
@@ -1,6 +1,20 @@
 //! The definition of the commands for records.
 
-use clap::{value_parser, Arg, ArgAction, Command};
+use {
+    crate::argument::{record_name, stamp_text},
+    clap::{value_parser, Arg, ArgAction, Command},
+};
+
+/// Operator of a change where none is given.
+const UNNAMED: &str = "unnamed";
+
+/// Reads the name of an operator; an empty `USER` is none.
+fn operator(text: &str) -> Result<String, String> {
+    match text {
+        "" => Ok(UNNAMED.to_owned()),
+        _ => stamp_text(text),
+    }
+}
 
 /// Returns the commands for records.
 pub(crate) fn commands() -> Vec<Command> {
@@ -34,6 +48,7 @@
         .arg(
             Arg::new("name")
                 .required(true)
+                .value_parser(record_name)
                 .help("Name of the record, such as shortfall"),
         )
         .arg(
@@ -75,11 +90,13 @@
     vec![
         Arg::new("operation-id")
             .long("operation-id")
+            .value_parser(stamp_text)
             .help("Identifier of the operation; give it again to repeat an operation whose outcome is unknown"),
         Arg::new("operator")
             .long("operator")
             .env("USER")
-            .default_value("unnamed")
+            .default_value(UNNAMED)
+            .value_parser(operator)
             .help("Your name, for the audit log and for those who race you"),
         Arg::new("wait")
             .long("wait")
@@ -106,7 +123,8 @@
         .arg(files())
         .after_help(
             "Each line names a field: '-' as it is in force, '+' as the file has it. \
-             A record that is not in force yet is shown whole.",
+             A record that is not in force yet is shown whole. \
+             Example: wharfctl diff route.toml",
         )
 }
 
@@ -154,18 +172,25 @@
             "Hosts refuse a store that shows an older state and raise wharf_store_reverted. \
              This command commits what the asked host holds as a new, higher revision. Changes \
              that were made to the restored store in between are dropped: look at \
-             'wharfctl records' first, and put them again afterwards.",
+             'wharfctl records' first, and put them again afterwards. \
+             Example: wharfctl recover --wait",
         )
 }
 
 fn records() -> Command {
-    Command::new("records").about("Lists the records in force, with their revisions")
+    Command::new("records")
+        .about("Lists the records in force, with their revisions")
+        .after_help("Example: wharfctl records --json")
 }
 
 fn history() -> Command {
     Command::new("history")
         .about("Lists the last operations, the newest first")
-        .arg(Arg::new("name").help("Name of a record; all without it"))
+        .arg(
+            Arg::new("name")
+                .value_parser(record_name)
+                .help("Name of a record; all without it"),
+        )
         .arg(
             Arg::new("version")
                 .requires("name")
@@ -176,7 +201,7 @@
             Arg::new("limit")
                 .long("limit")
                 .default_value("50")
-                .value_parser(value_parser!(u64))
+                .value_parser(value_parser!(u64).range(1..=256))
                 .help("Number of revisions to look back, at most 256"),
         )
         .after_help("Example: wharfctl history shortfall 1 --limit 20")
@@ -187,15 +212,22 @@
         "in-force",
         "Shows on which hosts the newest change of a record is in force",
     )
+    .after_help("Example: wharfctl in-force shortfall 1")
 }
 
 fn explain() -> Command {
     Command::new("explain")
         .about("Shows the plan of a query: service, index version, shards, servers and relays")
-        .arg(Arg::new("route").required(true).help("Name of the route"))
+        .arg(
+            Arg::new("route")
+                .required(true)
+                .value_parser(record_name)
+                .help("Name of the route"),
+        )
         .arg(
             Arg::new("version")
                 .value_parser(value_parser!(u32))
                 .help("Version of the route; the newest without it"),
         )
+        .after_help("Example: wharfctl explain shortfall 1")
 }
--- a/crates/bin/wharfctl/src/records.rs
+++ b/crates/bin/wharfctl/src/records.rs
@@ -9,8 +9,9 @@
     anyhow::{Context, Result},
     clap::ArgMatches,
     http::StatusCode,
-    serde_json::Value,
-    std::collections::BTreeMap,
+    serde::Serialize,
+    serde_json::{json, Value},
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Prints the records in force.
@@ -39,14 +40,22 @@
         }
         _ => format!("/v1/admin/history?limit={limit}"),
     };
-    let Some(found) = fetch(matches, path).await? else {
+    let text = fetch_text(matches, path).await?;
+    let mut found: Value = serde_json::from_str(&text).context(text)?;
+    if let Some(operations) = found.as_array_mut() {
+        let is_wanted = |name: &String, o: &Value| o["subject"]["name"].as_str() == Some(name);
+        operations.retain(|operation| name.is_none_or(|name| is_wanted(name, operation)));
+    }
+    if matches.get_flag("json") {
+        println!("{found}");
         return Ok(());
-    };
+    }
+    if rows(&found).is_empty() {
+        println!("no operation on it within the last {limit} revisions");
+        return Ok(());
+    }
     let mut table = Table::new(&["REVISION", "ACTION", "RECORD", "OPERATOR", "OPERATION"]);
-    let is_wanted = |operation: &&Value| {
-        name.is_none_or(|name| operation["subject"]["name"].as_str() == Some(name))
-    };
-    for operation in rows(&found).iter().filter(is_wanted) {
+    for operation in rows(&found) {
         let subject = &operation["subject"];
         let record = match subject.is_null() {
             true => "all".to_owned(),
@@ -122,41 +131,85 @@
         };
         let wanted: Value = serde_json::from_str(&raw.to_json())?;
         let (old, new) = (flat(&in_force["record"]), flat(&wanted));
+        let changes = changes(&old, &new);
+        if matches.get_flag("json") {
+            let revision = &in_force["revision"];
+            println!(
+                "{}",
+                json!({"file": file, "revision": revision, "changes": changes})
+            );
+            continue;
+        }
         match in_force["revision"].as_u64() {
             Some(revision) => println!("{file}: against revision {revision}"),
             None => println!("{file}: not in force yet"),
         }
-        print_diff(&old, &new);
+        print_changes(&changes);
     }
     Ok(())
 }
 
 /// Prints the fleet.
 pub(crate) async fn fleet(matches: &ArgMatches) -> Result<()> {
-    let api = Api::new(matches)?;
-    let call = Call::get("/v1/admin/fleet".to_owned());
-    println!("{}", api.send(&call).await?.success()?);
+    let Some(fleet) = fetch(matches, "/v1/admin/fleet".to_owned()).await? else {
+        return Ok(());
+    };
+    let spread = &fleet["in_force"];
+    println!(
+        "as {} knows it: revision {} in force on {} of {} hosts",
+        cell(&fleet["host"]),
+        fleet["revision"],
+        spread["in_force"],
+        spread["members"]
+    );
+    let mut table = Table::new(&["HOST", "REGION", "ZONE", "PEER ADDRESS", "STATE"]);
+    for member in rows(&fleet["members"]) {
+        let mut states = Vec::new();
+        if rows(&fleet["suspects"]).contains(&member["id"]) {
+            states.push("does not answer");
+        }
+        if rows(&spread["lagging"]).contains(&member["id"]) {
+            states.push("lagging");
+        }
+        if states.is_empty() {
+            states.push("ok");
+        }
+        let fields = ["id", "region", "zone", "peer_addr"];
+        let mut cells: Vec<_> = fields.iter().map(|field| cell(&member[field])).collect();
+        cells.push(states.join(", "));
+        table.row(cells);
+    }
+    table.print();
     Ok(())
 }
 
 /// Fetches a document; with `--json` it is printed as it is and `None` returned.
 async fn fetch(matches: &ArgMatches, path: String) -> Result<Option<Value>> {
-    let api = Api::new(matches)?;
-    let text = api.send(&Call::get(path)).await?.success()?;
+    let text = fetch_text(matches, path).await?;
     if matches.get_flag("json") {
         println!("{text}");
         return Ok(None);
     }
-    Ok(Some(
-        serde_json::from_str(&text).with_context(|| text.clone())?,
-    ))
+    Ok(Some(serde_json::from_str(&text).context(text)?))
+}
+
+async fn fetch_text(matches: &ArgMatches, path: String) -> Result<String> {
+    Api::new(matches)?.send(&Call::get(path)).await?.success()
 }
 
 fn rows(value: &Value) -> &[Value] {
     value.as_array().map_or(&[], Vec::as_slice)
 }
 
-type Fields = BTreeMap<String, String>;
+type Fields = BTreeMap<String, Value>;
+
+/// A field that differs; absent where the record lacks it.
+#[derive(Serialize)]
+struct FieldChange<'a> {
+    path: &'a str,
+    before: Option<&'a Value>,
+    after: Option<&'a Value>,
+}
 
 /// Lists every field by its path.
 fn flat(value: &Value) -> Fields {
@@ -180,23 +233,33 @@
             }
         }
         other => {
-            fields.insert(path.to_owned(), other.to_string());
+            fields.insert(path.to_owned(), other.clone());
         }
     }
 }
 
-fn print_diff(old: &Fields, new: &Fields) {
-    if old == new {
+/// Lists the fields that differ.
+fn changes<'a>(old: &'a Fields, new: &'a Fields) -> Vec<FieldChange<'a>> {
+    let paths: BTreeSet<_> = old.keys().chain(new.keys()).collect();
+    let change = |path: &'a String| FieldChange {
+        path,
+        before: old.get(path),
+        after: new.get(path),
+    };
+    let changes = paths.into_iter().map(change);
+    changes.filter(|c| c.before != c.after).collect()
+}
+
+fn print_changes(changes: &[FieldChange<'_>]) {
+    if changes.is_empty() {
         println!("  no difference");
     }
-    let mut paths: Vec<_> = old.keys().chain(new.keys()).collect();
-    paths.sort();
-    paths.dedup();
-    for path in paths {
-        let (before, after) = (old.get(path), new.get(path));
-        if before == after {
-            continue;
-        }
+    for FieldChange {
+        path,
+        before,
+        after,
+    } in changes
+    {
         if let Some(before) = before {
             println!("  - {path} = {before}");
         }
--- a/crates/process/host/src/admin/headers.rs
+++ b/crates/process/host/src/admin/headers.rs
@@ -14,8 +14,6 @@
 const OPERATOR_HEADER: &str = "x-wharf-operator";
 /// Operator of a change that names none.
 const UNNAMED_OPERATOR: &str = "unnamed";
-/// Longest operation identifier or operator, in bytes.
-const MAX_STAMP_BYTES: usize = 64;
 
 const RECORD_TAG: &str = "record-";
 const HEAD_TAG: &str = "head-";
@@ -86,10 +84,10 @@
     let Some(found) = text(headers, name)? else {
         return Ok(None);
     };
-    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_' | '@');
-    if found.is_empty() || found.len() > MAX_STAMP_BYTES || !found.chars().all(is_allowed) {
+    if !Stamp::is_allowed(found) {
         return Err(malformed(&format!(
-            "{name}: allowed are 1 to {MAX_STAMP_BYTES} letters, digits, '-', '.', '_' and '@'"
+            "{name}: allowed are 1 to {} letters, digits, '-', '.', '_' and '@'",
+            Stamp::MAX_BYTES
         )));
     }
     Ok(Some(found.to_owned()))
--- a/crates/process/host/src/admin/in_force.rs
+++ b/crates/process/host/src/admin/in_force.rs
@@ -14,7 +14,7 @@
         shared::Shared,
     },
     axum::{extract::State, Json},
-    fleet::Member,
+    fleet::{Member, Progress},
     futures::future::join_all,
     kind::{Error, Kind, Result},
     record::{HeadEntry, HeadId, HostId, Revision},
@@ -113,8 +113,21 @@
     Json(state(&shared, acceptance).await)
 }
 
+/// Returns how far a revision has come, as the exchange tells and as this host knows of itself.
+pub(crate) fn progress(shared: &Shared, revision: Revision) -> Progress {
+    let mut progress = shared.members.progress(revision);
+    if shared.in_force().revision() < revision {
+        return progress;
+    }
+    let own_id = &shared.settings.member.id;
+    let known = progress.lagging.len();
+    progress.lagging.retain(|id| id != own_id);
+    progress.in_force += known - progress.lagging.len();
+    progress
+}
+
 async fn state(shared: &Arc<Shared>, accepted: Acceptance) -> InForceStated {
-    let progress = shared.members.progress(accepted.revision);
+    let progress = progress(shared, accepted.revision);
     let members = shared.members.all();
     let lags = |member: &&Member| progress.lagging.contains(&member.id);
     let views = ask(shared, members.iter().filter(lags)).await;
--- a/crates/process/host/src/admin/mod.rs
+++ b/crates/process/host/src/admin/mod.rs
@@ -86,7 +86,7 @@
 async fn fleet(State(shared): State<Arc<Shared>>) -> Json<FleetStated> {
     let revision = shared.in_force().revision();
     let view = shared.members.view();
-    let progress = shared.members.progress(revision);
+    let progress = in_force::progress(&shared, revision);
     Json(FleetStated {
         host: shared.settings.member.id.clone(),
         revision,
--- a/crates/test/fakes/src/process/child.rs
+++ b/crates/test/fakes/src/process/child.rs
@@ -115,7 +115,8 @@
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     if !output.status.success() {
         bail!(
-            "{program}: {text}{}",
+            "{program}, {}: {text}{}",
+            output.status,
             String::from_utf8_lossy(&output.stderr)
         );
     }
--- a/crates/version/record/src/lib.rs
+++ b/crates/version/record/src/lib.rs
@@ -36,7 +36,7 @@
         RawCoverage, RawFloors, RawHedge, RawIndex, RawRecord, RawRoute, RawServer, RawService,
         RawShard,
     },
-    route::{Coverage, Hedge, Route, WhenShort},
+    route::{check_name, Coverage, Hedge, Route, WhenShort},
     service::{Index, Server, Service, Shard},
 };
 
--- a/crates/version/record/src/operation.rs
+++ b/crates/version/record/src/operation.rs
@@ -112,6 +112,17 @@
     pub operator: String,
 }
 
+impl Stamp {
+    /// Longest identifier or name, in bytes.
+    pub const MAX_BYTES: usize = 64;
+
+    /// Returns whether a text may be an identifier of an operation or the name of an operator.
+    pub fn is_allowed(text: &str) -> bool {
+        let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_' | '@');
+        (1..=Self::MAX_BYTES).contains(&text.len()) && text.chars().all(is_allowed)
+    }
+}
+
 /// One committed change.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Operation {
--- a/crates/version/record/src/raw.rs
+++ b/crates/version/record/src/raw.rs
@@ -268,5 +268,7 @@
 }
 
 fn field_error<E: std::error::Error>(error: &serde_path_to_error::Error<E>) -> Error {
-    crate::bad_field(&error.path().to_string(), error.inner())
+    // The text of a TOML error ends with a line of its own.
+    let problem = error.inner().to_string();
+    crate::bad_field(&error.path().to_string(), problem.trim_end())
 }
--- a/crates/version/record/src/route.rs
+++ b/crates/version/record/src/route.rs
@@ -159,7 +159,12 @@
     Ok(floors)
 }
 
-pub(crate) fn check_name(path: &str, name: &str) -> Result<()> {
+/// Checks the name of a record, a zone or a region that stands at `path`.
+///
+/// # Errors
+///
+/// Returns [`Kind::BadRecord`](kind::Kind::BadRecord) with the path.
+pub fn check_name(path: &str, name: &str) -> Result<()> {
     let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '.';
     let length = name.chars().count();
     if length == 0 || length > MAX_NAME_CHARS || !name.chars().all(allowed) {
