--- a/crates/process/host/src/admin/in_force.rs
+++ b/crates/process/host/src/admin/in_force.rs
@@ -7,15 +7,17 @@
 //! still on its way, and no answer of a few would settle that.
 
 use {
-    crate::{entry::Problem, peer, shared::Shared},
-    axum::{
-        extract::{Path, Query, State},
-        Json,
+    crate::{
+        admin::extract::{Path, Query, RecordPath},
+        entry::Problem,
+        peer,
+        shared::Shared,
     },
-    fleet::Member,
+    axum::{extract::State, Json},
+    fleet::{Member, Progress},
     futures::future::join_all,
     kind::{Error, Kind, Result},
-    record::{HeadEntry, HeadId, HostId, RecordVersion, Revision},
+    record::{HeadEntry, HeadId, HostId, Revision},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
     store::load_head,
@@ -66,7 +68,7 @@
 /// States where the newest change of a record is in force.
 pub(crate) async fn get(
     State(shared): State<Arc<Shared>>,
-    Path((name, version)): Path<(String, RecordVersion)>,
+    Path(RecordPath { name, version }): Path<RecordPath>,
 ) -> Result<Json<InForceStated>, Problem> {
     let is_wanted = |entry: &&HeadEntry| entry.id.name == name && entry.id.version == version;
     let held = shared.in_force();
@@ -111,8 +113,21 @@
     Json(state(&shared, acceptance).await)
 }
 
+/// Returns how far a revision has come, as the exchange tells and as this host knows of itself.
+pub(crate) fn progress(shared: &Shared, revision: Revision) -> Progress {
+    let mut progress = shared.members.progress(revision);
+    if shared.in_force().revision() < revision {
+        return progress;
+    }
+    let own_id = &shared.settings.member.id;
+    let known = progress.lagging.len();
+    progress.lagging.retain(|id| id != own_id);
+    progress.in_force += known - progress.lagging.len();
+    progress
+}
+
 async fn state(shared: &Arc<Shared>, accepted: Acceptance) -> InForceStated {
-    let progress = shared.members.progress(accepted.revision);
+    let progress = progress(shared, accepted.revision);
     let members = shared.members.all();
     let lags = |member: &&Member| progress.lagging.contains(&member.id);
     let views = ask(shared, members.iter().filter(lags)).await;
