--- a/crates/connection/link/src/table.rs
+++ b/crates/connection/link/src/table.rs
@@ -77,6 +77,28 @@
         choose(&usable, chance)
     }
 
+    /// Picks as [`ServerTable::pick`] does, but where calls are `waiting` for
+    /// that server another one for which fewer wait.
+    pub fn pick_in_turn<C: Chance>(
+        &self,
+        shard: &Shard,
+        tried: &[ServerAddr],
+        waiting: impl Fn(ServerAddr) -> usize,
+        chance: &mut C,
+        now: Instant,
+    ) -> Option<ServerAddr> {
+        let first = self.pick(shard, tried, chance, now)?;
+        let before_first = waiting(first);
+        if before_first == 0 {
+            return Some(first);
+        }
+        let mut avoided = tried.to_vec();
+        avoided.push(first);
+        self.pick(shard, &avoided, chance, now)
+            .filter(|server| !avoided.contains(server) && waiting(*server) < before_first)
+            .or(Some(first))
+    }
+
     /// Returns whether every server of `shard` drains.
     pub fn all_drain(&self, shard: &Shard, now: Instant) -> bool {
         self.candidates(shard, now).is_empty()
@@ -88,6 +110,15 @@
         servers.any(|server| self.with(server.addr, now, |state| state.is_shedding(now)))
     }
 
+    /// Returns whether a call to `server` only tests if it works again, while
+    /// another server of `shard` works.
+    pub fn is_test(&self, shard: &Shard, server: ServerAddr, now: Instant) -> bool {
+        let is_on_trial = |addr| self.with(addr, now, |state| state.is_on_trial());
+        let works = |addr| self.with(addr, now, |state| state.works(now));
+        let mut others = shard.servers.iter().filter(|other| other.addr != server);
+        is_on_trial(server) && others.any(|other| works(other.addr))
+    }
+
     /// Takes the begin of a call.
     pub fn on_begin(&self, addr: ServerAddr, now: Instant) {
         self.with(addr, now, Server::on_begin);
--- a/crates/process/host/src/admin/records.rs
+++ b/crates/process/host/src/admin/records.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        admin::headers::{head_tag, is_repeat, precondition, record_tag, stamp},
+        admin::{
+            headers::{head_tag, is_repeat, precondition, record_tag, stamp},
+            in_force::find_newer,
+        },
         config,
         entry::Problem,
         shared::Shared,
@@ -14,16 +17,17 @@
         Json,
     },
     http::header,
-    kind::{Error, Kind, Result},
+    kind::{Error, Kind, Ran, Result},
     record::{
-        Change, Head, HeadEntry, HeadId, Operation, OperationId, RawRecord, RecordId, RecordKind,
-        RecordVersion, Revision, Stamp,
+        Action, Change, Head, HeadEntry, HeadId, Operation, OperationId, RawRecord, RecordId,
+        RecordKind, RecordVersion, Revision, Stamp,
     },
     serde::{Deserialize, Serialize},
     serde_json::value::RawValue,
     std::sync::Arc,
     store::{
-        body_key_at, commit, load_body, load_head, load_history, Commit, Committed, MAX_HISTORY,
+        body_key_at, commit, find_operation, load_body, load_head, load_history, Commit, Committed,
+        MAX_HISTORY,
     },
 };
 
@@ -118,8 +122,15 @@
     Query(query): Query<KindQuery>,
     headers: HeaderMap,
 ) -> Result<Json<Accepted>, Problem> {
-    let id = known_id(&shared, &name, version, query.kind).await?;
-    let change = Commit::new(Change::Retire { id }, stamp(&headers)?);
+    let stamp = stamp(&headers)?;
+    let id = match known_id(&shared, &name, version, query.kind).await {
+        Ok(id) => id,
+        Err(error) => {
+            let wanted = Wanted::new(Action::Retire, &name, version);
+            return earlier(&shared, &headers, &stamp, &wanted, error).await;
+        }
+    };
+    let change = Commit::new(Change::Retire { id }, stamp);
     run(&shared, &headers, change).await
 }
 
@@ -130,12 +141,78 @@
     Query(query): Query<RollBackQuery>,
     headers: HeaderMap,
 ) -> Result<Json<Accepted>, Problem> {
-    let id = known_id(&shared, &name, version, query.kind).await?;
-    let body_key = body_key_at(&shared.platform, &id, query.to_revision).await?;
-    let change = Commit::new(Change::RollBack { id, body_key }, stamp(&headers)?);
+    let stamp = stamp(&headers)?;
+    let id = known_id(&shared, &name, version, query.kind).await;
+    let text = match id {
+        Ok(id) => text_at(&shared, &id, query.to_revision).await,
+        Err(error) => Err(error),
+    };
+    let text = match text {
+        Ok(text) => text,
+        Err(error) => {
+            let wanted = Wanted::new(Action::RollBack, &name, version);
+            return earlier(&shared, &headers, &stamp, &wanted, error).await;
+        }
+    };
+    let change = Commit::roll_back(text, stamp)?;
     run(&shared, &headers, change).await
 }
 
+async fn text_at(shared: &Shared, id: &RecordId, revision: Revision) -> Result<String> {
+    let key = body_key_at(&shared.platform, id, revision).await?;
+    Ok(load_body(&shared.platform, &key).await?.to_string())
+}
+
+/// A change of a record that is not found any more.
+struct Wanted<'a> {
+    action: Action,
+    name: &'a str,
+    version: RecordVersion,
+}
+
+impl<'a> Wanted<'a> {
+    fn new(action: Action, name: &'a str, version: RecordVersion) -> Self {
+        Self {
+            action,
+            name,
+            version,
+        }
+    }
+
+    fn is_done_by(&self, operation: &Operation) -> bool {
+        let subject = operation.subject.as_ref();
+        let is_subject = |id: &RecordId| id.name == self.name && id.version == self.version;
+        operation.action == self.action && subject.is_some_and(is_subject)
+    }
+}
+
+/// Answers a repeat whose record is not found any more by what the earlier call did.
+async fn earlier(
+    shared: &Shared,
+    headers: &HeaderMap,
+    stamp: &Stamp,
+    wanted: &Wanted<'_>,
+    error: Error,
+) -> Result<Json<Accepted>, Problem> {
+    if error.kind() != Kind::UnknownRecord || !is_repeat(headers) {
+        return Err(error.into());
+    }
+    let found = find_operation(&shared.platform, &stamp.operation_id).await?;
+    match found {
+        Some(operation) if !wanted.is_done_by(&operation) => Err(Problem(Error::new(
+            Kind::KeyReused,
+            format!("operation {} made another change", stamp.operation_id),
+        ))),
+        Some(operation) => Ok(Json(Accepted {
+            accepted: true,
+            revision: operation.revision,
+            operation_id: operation.operation_id,
+            is_repeat: true,
+        })),
+        None => Err(error.with_ran(Ran::Unknown).into()),
+    }
+}
+
 /// Gives the store back what this host holds in force.
 pub(crate) async fn recover(
     State(shared): State<Arc<Shared>>,
@@ -149,11 +226,12 @@
             "the store shows what this host holds, nothing is to be recovered",
         )));
     }
-    if let Some(peer) = newest_peer(&shared, held.revision()).await {
-        return Err(Problem(Error::new(
-            Kind::Conflict,
-            format!("host {} holds revision {}, recover there", peer.0, peer.1),
-        )));
+    if let Some(newer) = find_newer(&shared, held.revision()).await {
+        let detail = format!(
+            "host {} holds revision {}, recover there",
+            newer.host, newer.revision
+        );
+        return Err(Problem(Error::new(Kind::Conflict, detail)));
     }
     let change = Commit::recover(held.bundle(), stamp(&headers)?);
     run(&shared, &headers, change).await
@@ -233,16 +311,6 @@
     );
 }
 
-/// Finds the host that holds the highest revision above `revision`.
-async fn newest_peer(shared: &Arc<Shared>, revision: Revision) -> Option<(String, Revision)> {
-    let views = crate::admin::in_force::ask_all(shared).await;
-    views
-        .into_iter()
-        .filter_map(|view| Some((view.host, view.head?.revision)))
-        .filter(|(_, held)| *held > revision)
-        .max_by_key(|(_, held)| *held)
-}
-
 /// Tells the kind of a record, from what is in force or from its history.
 async fn known_id(
     shared: &Arc<Shared>,
--- a/crates/process/store/src/lib.rs
+++ b/crates/process/store/src/lib.rs
@@ -4,6 +4,7 @@
 //! what did not happen from what may have happened, because a lost reply is
 //! not a failed write.
 
+mod body;
 mod claim;
 mod claim_batch;
 mod claim_log;
@@ -14,6 +15,7 @@
 mod platform;
 
 pub use crate::{
+    body::Body,
     claim::{
         claim, fingerprint, record_outcome, Claim, ClaimAttemptId, ClaimEvent, ClaimScope,
         ClaimStep, Claimed, Claiming, Fingerprint, Outcome, ScopeHash, Won, MAX_KEPT_ANSWER_BYTES,
@@ -23,11 +25,11 @@
         RangeView,
     },
     claim_log::{claim_range, ClaimRange, CLAIM_RANGES},
-    commit::{commit, Body, Commit, CommitEvent, CommitStep, Committed},
-    history::{body_key_at, load_history, MAX_HISTORY},
+    commit::{commit, Commit, CommitEvent, CommitStep, Committed, KEPT_FOR},
+    history::{body_key_at, find_operation, load_history, MAX_HISTORY},
     http::HttpPlatform,
     load::{load_body, load_bundle, load_head, HEAD_KEY},
     platform::{Expected, Fault, KeyRevision, LeaseId, ListedHost, Platform, Role, Value},
 };
 
-use crate::history::history_key;
+use crate::history::{history_key, operation_key, read_operation};
--- a/crates/process/store/tests/claim_batch.rs
+++ b/crates/process/store/tests/claim_batch.rs
@@ -61,7 +61,7 @@
         let event = match self.step.clone() {
             BatchStep::Read { key } => {
                 self.reads += 1;
-                BatchEvent::Read(fate.read(store, &key))
+                BatchEvent::Read(fate.call(|| Ok(store.get(&key))))
             }
             BatchStep::Write {
                 key,
@@ -71,7 +71,7 @@
             } => {
                 assert!(bytes.len() < 1_000_000 && retention >= RETENTION);
                 self.writes += 1;
-                BatchEvent::Written(fate.write(store, &key, expected, bytes))
+                BatchEvent::Written(fate.call(|| store.put(&key, expected, bytes)))
             }
             BatchStep::Done(_) => return,
         };
--- a/crates/version/record/tests/schema.rs
+++ b/crates/version/record/tests/schema.rs
@@ -138,6 +138,7 @@
         id: record.id(),
         body_key: String::new(),
         revision: 1,
+        service: None,
     }
 }
 
