Test that a long retention holds for all that leads to its claim

Cause: one generation of the claim log holds claims of several retentions, and the open one must outlive every sealed one that it names; no test said so.

Fails first: mutant that leases the open generation for its own claims alone: 'write 8, left: 3600s, right: 259200s'; mutant that takes the last claim's retention: the same at write 0. The claim's messages stand among those whose missing and unknown fields are read.

--- a/crates/process/fleet/tests/wire.rs
+++ b/crates/process/fleet/tests/wire.rs
@@ -1,7 +1,10 @@
 //! Messages of the former and the next release, as they stand on the wire.
 
 use {
-    fleet::{is_spoken, Message, QueryAnswer, QueryCall, Standing, WireMessage, PROTOCOL_VERSION},
+    fleet::{
+        is_spoken, ClaimCall, ClaimReply, Message, QueryAnswer, QueryCall, Standing, WireMessage,
+        PROTOCOL_VERSION,
+    },
     kind::{Error, Kind, Ran},
 };
 
@@ -37,6 +40,11 @@
     "o": ["00000000ab1", "", "zz"]
 }"#;
 
+/// The least that a claim says.
+const CLAIM_LEAST: &str = r#"{
+    "protocol_version": 2, "scope": "a", "attempt_id": "b", "fingerprint": "c", "retention_s": 3600
+}"#;
+
 #[test]
 fn messages_of_the_former_release_are_read() {
     let call: QueryCall = serde_json::from_str(QUERY_CALL_1).unwrap();
@@ -70,6 +78,10 @@
     assert_eq!(later.revision, 4);
     assert_eq!(later.entries[0].standing, Standing::Suspect);
     assert_eq!(later.reports.len(), 1);
+    let claim: ClaimCall = serde_json::from_str(CLAIM_LEAST).unwrap();
+    assert!(claim.outcome.is_none());
+    let reply: ClaimReply = serde_json::from_str(r#"{"new": 1}"#).unwrap();
+    assert!(reply.finished.is_none());
 }
 
 #[test]
--- a/crates/process/store/tests/claim_batch.rs
+++ b/crates/process/store/tests/claim_batch.rs
@@ -32,6 +32,8 @@
     step: BatchStep,
     writes: u32,
     reads: u32,
+    /// Retention of the last value that was written.
+    retention: Duration,
 }
 
 impl Running {
@@ -46,6 +48,7 @@
             step,
             writes: 0,
             reads: 0,
+            retention: Duration::ZERO,
         }
     }
 
@@ -71,6 +74,7 @@
             } => {
                 assert!(bytes.len() < 1_000_000 && retention >= RETENTION);
                 self.writes += 1;
+                self.retention = retention;
                 BatchEvent::Written(fate.call(|| store.put(&key, expected, bytes)))
             }
             BatchStep::Done(_) => return,
@@ -87,6 +91,7 @@
             answers: self.answers().cloned().unwrap_or_default(),
             writes: self.writes,
             reads: self.reads,
+            retention: self.retention,
             view: self.batch.into_view(),
         }
     }
@@ -96,6 +101,7 @@
     answers: Vec<BatchAnswer>,
     writes: u32,
     reads: u32,
+    retention: Duration,
     view: RangeView,
 }
 
@@ -329,6 +335,25 @@
     assert_eq!(named, sealed_keys(&expired).len());
 }
 
+#[test]
+fn a_long_retention_holds_for_all_that_leads_to_its_claim() {
+    let mut store = MemoryStore::default();
+    let long = BatchOp {
+        retention: 72 * RETENTION,
+        ..claim(500, 1)
+    };
+    let mut view = run(&mut store, RangeView::default(), vec![long], &[]).view;
+    let mut sealed = Vec::new();
+    for i in 0..30 {
+        let large = record(i, i + 1, outcome(Ran::Yes, LARGE_ANSWER_BYTES));
+        let ended = run(&mut store, view, vec![large], &[]);
+        assert_eq!(ended.retention, 72 * RETENTION, "write {i}");
+        sealed = sealed_keys(&store);
+        view = ended.view;
+    }
+    assert!(sealed.len() > 1);
+}
+
 /// Names sealed generations that no key holds, the newest ones, up to `count`.
 fn name_sealed(store: &mut MemoryStore, count: usize) {
     let value = store.get(OPEN).expect("an open generation");
