--- a/crates/process/host/examples/claim_cost.rs
+++ b/crates/process/host/examples/claim_cost.rs
@@ -49,7 +49,7 @@
             ..Behaviour::default()
         },
         relays: 1,
-        host_flags: Vec::new(),
+        ..Layout::default()
     })
     .await?;
     path.configure().await?;
--- a/crates/process/store/tests/claim.rs
+++ b/crates/process/store/tests/claim.rs
@@ -17,9 +17,9 @@
     loop {
         let fate = fates.next().unwrap_or(Fate::Fine);
         let event = match step {
-            ClaimStep::Read => ClaimEvent::Read(fate.read(store, KEY)),
+            ClaimStep::Read => ClaimEvent::Read(fate.call(|| Ok(store.get(KEY)))),
             ClaimStep::Write { expected, bytes } => {
-                ClaimEvent::Written(fate.apply(store, |store| store.put(KEY, expected, bytes)))
+                ClaimEvent::Written(fate.call(|| store.put(KEY, expected, bytes)))
             }
             ClaimStep::Done(result) => return result,
         };
--- a/crates/process/store/tests/commit.rs
+++ b/crates/process/store/tests/commit.rs
@@ -67,20 +67,19 @@
 
 fn answer(store: &mut MemoryStore, step: &CommitStep, fate: Fate) -> CommitEvent {
     match step {
-        CommitStep::Read { key } => CommitEvent::Read(fate.read(store, key)),
+        CommitStep::Read { key } => CommitEvent::Read(fate.call(|| Ok(store.get(key)))),
         CommitStep::Write {
             key,
             expected,
             bytes,
             lease_id,
         } => {
-            let write = |store: &mut MemoryStore| {
-                store.put_leased(key, *expected, bytes.clone(), *lease_id)
-            };
-            CommitEvent::Written(fate.apply(store, write))
+            let bytes = bytes.clone();
+            let write = || store.put_leased(key, *expected, bytes, *lease_id);
+            CommitEvent::Written(fate.call(write))
         }
         CommitStep::GrantLease { ttl } => {
-            CommitEvent::Granted(fate.apply(store, |store| Ok(store.grant_lease(*ttl))))
+            CommitEvent::Granted(fate.call(|| Ok(store.grant_lease(*ttl))))
         }
         CommitStep::Done(_) => panic!("the commit has ended"),
     }
