Read errors of unknown kinds from a newer release

Cause: errors went over the wire with the kind as a closed enum. A reply with a kind that a newer release adds could not be read, and the transport ended the connection with every other query on it.

The error has a wire type of its own now, with kind and state of execution as names. An unknown kind reads as 'internal', with the name in the detail and with what the peer says of execution; an unknown state reads as 'unknown'. Weighed: 'host-lost' and 'bad-peer' lead an entry to the next relay, so an unknown refusal for load would multiply the load.

A call between processes of two releases is still not made.

--- a/crates/process/fleet/src/lib.rs
+++ b/crates/process/fleet/src/lib.rs
@@ -34,6 +34,6 @@
     },
     wire::{
         is_spoken, Held, Peer, PeerClient, PeerRequest, PeerResponse, QueryAnswer, QueryCall,
-        WireRows, PROTOCOL_VERSION,
+        WireError, WireRows, PROTOCOL_VERSION,
     },
 };
--- a/crates/process/fleet/src/wire.rs
+++ b/crates/process/fleet/src/wire.rs
@@ -6,13 +6,14 @@
 
 use {
     crate::WireMessage,
-    kind::{Ran, Result},
+    kind::{Error, Kind, Ran},
     plan::{Answer, CoverageReport, ShardRows},
     record::{
         HeadId, HostId, IndexVersion, Rank, RecordVersion, Revision, ShardId, TenantId, WireBundle,
     },
     serde::{Deserialize, Serialize},
     serde_json::value::RawValue,
+    std::time::Duration,
 };
 
 /// Version of the protocol between hosts.
@@ -100,6 +101,61 @@
     }
 }
 
+/// An error on the wire.
+///
+/// The kind and the state of execution are names, because a kind that a newer
+/// release adds must not make the whole reply unreadable: the connection would
+/// end, and with it every other query on it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WireError {
+    kind: String,
+    ran: String,
+    detail: String,
+    #[serde(default)]
+    retry_after_ms: Option<u64>,
+}
+
+impl From<Error> for WireError {
+    fn from(error: Error) -> Self {
+        let retry_after = error.retry_after();
+        Self {
+            kind: error.kind().answer().name.to_owned(),
+            ran: error.ran().as_str().to_owned(),
+            detail: error.detail().to_owned(),
+            retry_after_ms: retry_after.and_then(|time| u64::try_from(time.as_millis()).ok()),
+        }
+    }
+}
+
+impl From<WireError> for Error {
+    /// Reads an unknown kind as [`Kind::Internal`], which no entry takes for a
+    /// reason to try another relay, and an unknown state of execution as
+    /// [`Ran::Unknown`].
+    fn from(wire: WireError) -> Self {
+        let error = match kind_of(&wire.kind) {
+            Some(kind) => Self::new(kind, wire.detail),
+            None => Self::new(Kind::Internal, format!("{}: {}", wire.kind, wire.detail)),
+        };
+        let error = error.with_ran(ran_of(&wire.ran));
+        match wire.retry_after_ms {
+            Some(retry_after_ms) => error.with_retry_after(Duration::from_millis(retry_after_ms)),
+            None => error,
+        }
+    }
+}
+
+fn kind_of(name: &str) -> Option<Kind> {
+    let mut kinds = Kind::ALL.iter().copied();
+    kinds.find(|kind| kind.answer().name == name)
+}
+
+fn ran_of(name: &str) -> Ran {
+    let mut known = [Ran::No, Ran::Unknown, Ran::Yes].into_iter();
+    known
+        .find(|ran| ran.as_str() == name)
+        .unwrap_or(Ran::Unknown)
+}
+
 /// What a host holds in force.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Held {
@@ -116,10 +172,10 @@
 #[tarpc::service]
 pub trait Peer {
     /// Runs a query as its relay.
-    async fn query(call: QueryCall) -> Result<QueryAnswer>;
+    async fn query(call: QueryCall) -> Result<QueryAnswer, WireError>;
 
     /// Exchanges news of the fleet.
-    async fn exchange(message: WireMessage) -> Result<WireMessage>;
+    async fn exchange(message: WireMessage) -> Result<WireMessage, WireError>;
 
     /// Answers at once; shows that the connection still carries bytes both ways.
     async fn probe();
--- a/crates/process/fleet/tests/wire.rs
+++ b/crates/process/fleet/tests/wire.rs
@@ -1,8 +1,12 @@
 //! Messages of the former and the next release, as they stand on the wire.
 
 use {
-    fleet::{is_spoken, Message, QueryAnswer, QueryCall, Standing, WireMessage, PROTOCOL_VERSION},
+    fleet::{
+        is_spoken, Message, PeerResponse, QueryAnswer, QueryCall, Standing, WireError, WireMessage,
+        PROTOCOL_VERSION,
+    },
     kind::{Error, Kind, Ran},
+    std::time::Duration,
 };
 
 /// A query of release 1.
@@ -24,6 +28,11 @@
 /// An error of release 1.
 const ERROR_1: &str = r#"{"kind": "draining", "ran": "no", "detail": "the host is draining", "retry_after_ms": null}"#;
 
+/// The reply of a later release, with a kind, a state of execution and a field that are unknown here.
+const REPLY_LATER: &str = r#"{"Query": {"Err": {
+    "kind": "too-hot", "ran": "RAN", "detail": "cooling down", "retry_after_ms": 50, "new": 1
+}}}"#;
+
 /// The least that a host of any release says in an exchange.
 const EXCHANGE_LEAST: &str = r#"{
     "p": 2, "m": {"i": "host-1", "a": "10.0.0.1:7001", "g": "north", "z": "north-a", "n": 7}
@@ -44,8 +53,42 @@
     assert_eq!((call.route.as_str(), call.time_left_ms), ("shortfall", 480));
     let answer: QueryAnswer = serde_json::from_str(QUERY_ANSWER_1).unwrap();
     assert_eq!((answer.rows.len(), answer.ran), (1, Ran::Yes));
-    let error: Error = serde_json::from_str(ERROR_1).unwrap();
-    assert_eq!(error.kind(), Kind::Draining);
+    let error: WireError = serde_json::from_str(ERROR_1).unwrap();
+    let error = Error::from(error);
+    assert_eq!((error.kind(), error.ran()), (Kind::Draining, Ran::No));
+}
+
+#[test]
+fn an_error_of_an_unknown_kind_is_read_with_what_it_says_of_execution() {
+    let cases = [
+        ("no", Ran::No),
+        ("unknown", Ran::Unknown),
+        ("yes", Ran::Yes),
+        ("halfway", Ran::Unknown),
+    ];
+    for (text, ran) in cases {
+        let reply = serde_json::from_str(&REPLY_LATER.replace("RAN", text)).unwrap();
+        let PeerResponse::Query(Err(error)) = reply else {
+            panic!("{text}: no error was read");
+        };
+        let error = Error::from(error);
+        assert_eq!((error.kind(), error.ran()), (Kind::Internal, ran), "{text}");
+        assert_eq!(error.detail(), "too-hot: cooling down");
+        assert_eq!(error.retry_after(), Some(Duration::from_millis(50)));
+    }
+}
+
+#[test]
+fn every_kind_survives_the_wire() {
+    for kind in Kind::ALL {
+        let error = Error::new(*kind, "detail").with_retry_after(Duration::from_millis(7));
+        let reply = PeerResponse::Query(Err(error.clone().into()));
+        let text = serde_json::to_string(&reply).unwrap();
+        let PeerResponse::Query(Err(back)) = serde_json::from_str(&text).unwrap() else {
+            panic!("{text}");
+        };
+        assert_eq!(Error::from(back), error);
+    }
 }
 
 #[test]
--- a/crates/process/host/src/peer.rs
+++ b/crates/process/host/src/peer.rs
@@ -12,7 +12,7 @@
         shared::Shared,
     },
     fleet::{
-        is_spoken, Held, Message, Peer, PeerClient, QueryAnswer, QueryCall, WireMessage,
+        is_spoken, Held, Message, Peer, PeerClient, QueryAnswer, QueryCall, WireError, WireMessage,
         PROTOCOL_VERSION,
     },
     futures::StreamExt,
@@ -146,7 +146,7 @@
             answer = &mut answer => match answer {
                 Ok(answer) => {
                     connection.hear();
-                    Ok(answer)
+                    Ok(answer.map_err(Error::from))
                 }
                 Err(error) => Err(self.on_error(addr, &connection, &error)),
             },
@@ -307,16 +307,16 @@
 }
 
 impl Peer for PeerServer {
-    async fn query(self, _: Context, call: QueryCall) -> Result<QueryAnswer> {
+    async fn query(self, _: Context, call: QueryCall) -> Result<QueryAnswer, WireError> {
         check_version(call.protocol_version)?;
         select! {
             biased;
-            answer = relay::serve(&self.shared, call) => answer,
-            error = self.shared.life.given_up() => Err(error),
+            answer = relay::serve(&self.shared, call) => answer.map_err(WireError::from),
+            error = self.shared.life.given_up() => Err(error.into()),
         }
     }
 
-    async fn exchange(self, _: Context, message: WireMessage) -> Result<WireMessage> {
+    async fn exchange(self, _: Context, message: WireMessage) -> Result<WireMessage, WireError> {
         self.traffic.mark_control();
         check_version(message.protocol_version)?;
         Ok(self.shared.members.on_request(&message.into()).into())
