Run a mutant against every promise that had none

Three tests were too weak:

- windows_that_share_slots_converge: a subtractive decrease passed, since new bounds had made both windows equal before, and then since both met a bound.
They start apart between their bounds now, and see the service at rest now and then.
Seen on the way: without such looks the baseline follows the load (1.002 a batch) until both windows stand at their largest, so that convergence proved nothing.
- a_cut_region_neither_holds_up_the_others: 'lost hosts are not tried again' passed, since the seeds named every host.
A list that has dropped the lost hosts is part of the test now.
- a_relay_that_drains_cuts_no_forwarded_query: the mutant without the wait for work in flight passed.
Its bound on runs was vacuous: the count is of one request, shard and server, and a cut forward runs on other servers or again with one run each.
In its place every forward has to end as 'ok', the stop comes once the relay holds all queries, and their execution outlasts the other steps of a shutdown.

The wait for members and the look for the relay move to the fixture.

--- a/crates/bin/wharf/tests/fleet.rs
+++ b/crates/bin/wharf/tests/fleet.rs
@@ -4,21 +4,26 @@
     anyhow::{ensure, Result},
     fakes::{
         platform::Faults,
-        process::{Layout, Path, ADMIN_TOKEN},
+        process::{Layout, Path},
         upstream::Behaviour,
     },
     futures::future::join_all,
-    http::{Method, StatusCode},
+    http::StatusCode,
     nix::{
         sys::signal::{kill, Signal},
         unistd::Pid,
     },
-    serde_json::Value,
     std::time::Duration,
     tokio::time::sleep,
 };
 
 const QUERIES: usize = 12;
+/// Execution time with which the queries outlast all steps of a shutdown but the wait for them.
+const LONG_MS: f64 = 1_500.0;
+/// Deadline of queries that take so long.
+const LONG_DEADLINE_MS: &str = "20000";
+/// Deadline of other queries.
+const DEADLINE_MS: &str = "5000";
 const POLL_PAUSE: Duration = Duration::from_millis(50);
 const MAX_POLLS: usize = 600;
 
@@ -40,68 +45,32 @@
     Ok(kill(Pid::from_raw(pid), signal)?)
 }
 
-async fn fleet_of(path: &Path, host: usize) -> Result<Value> {
-    let token = format!("Bearer {ADMIN_TOKEN}");
-    let headers = [("authorization", token.as_str())];
-    let addr = path.hosts[host].admin_addr;
-    let answer = path
-        .client
-        .send(Method::GET, addr, "/v1/admin/fleet", &headers, "")
-        .await?;
-    Ok(answer.json())
-}
-
-/// Waits until the given hosts all know exactly `count` members.
-async fn await_members(path: &Path, hosts: &[usize], count: usize) -> Result<()> {
-    for _ in 0..MAX_POLLS {
-        let mut agreeing = 0;
-        for host in hosts {
-            let fleet = fleet_of(path, *host).await?;
-            let members = fleet["members"].as_array().map_or(0, Vec::len);
-            agreeing += usize::from(members == count);
-        }
-        if agreeing == hosts.len() {
-            return Ok(());
-        }
-        sleep(POLL_PAUSE).await;
-    }
-    anyhow::bail!("the hosts never knew {count} members")
-}
-
 /// Finds the one relay: the only host that counts leaf calls.
 async fn relay_of(path: &Path) -> Result<usize> {
     let answer = path.query(0, "shortfall", &[], "{}").await?;
     ensure!(answer.status == StatusCode::OK, "{}", answer.text);
-    for (i, host) in path.hosts.iter().enumerate() {
-        let metrics = path
-            .client
-            .send(Method::GET, host.admin_addr, "/metrics", &[], "")
-            .await?;
-        if metrics.text.contains("wharf_leaf_calls_total{") {
-            return Ok(i);
-        }
-    }
-    anyhow::bail!("no host has called an upstream")
+    path.relay().await
 }
 
 async fn started(hosts: usize) -> Result<(Path, usize, usize)> {
     let path = Path::start(layout(hosts)).await?;
     path.configure().await?;
     let all: Vec<_> = (0..hosts).collect();
-    await_members(&path, &all, hosts).await?;
+    path.wait_for_member_count(&all, hosts).await?;
     let relay = relay_of(&path).await?;
     let entry = (relay + 1) % hosts;
     Ok((path, relay, entry))
 }
 
 /// Sends queries through `entry` and runs `event` while they are in flight.
-async fn query_through<F>(path: &Path, entry: usize, event: F) -> Result<usize>
+async fn query_through<F>(path: &Path, entry: usize, deadline_ms: &str, event: F) -> Result<usize>
 where
     F: std::future::Future<Output = Result<()>>,
 {
     let queries = join_all((0..QUERIES).map(|i| async move {
         let body = format!("{{\"item\":{i}}}");
-        path.query(entry, "shortfall", &[], &body).await
+        let headers = [("x-wharf-deadline-ms", deadline_ms)];
+        path.query(entry, "shortfall", &headers, &body).await
     }));
     let (answers, event) = tokio::join!(queries, event);
     event?;
@@ -129,23 +98,49 @@
     anyhow::bail!("no query reached an upstream")
 }
 
+/// Waits until the relay holds every query.
+async fn all_in_flight(path: &Path, relay: usize) -> Result<()> {
+    for _ in 0..MAX_POLLS {
+        let metrics = path.metrics(relay).await?;
+        let line = metrics.lines().find(|l| l.starts_with("wharf_in_flight{"));
+        let value = line.and_then(|line| line.rsplit(' ').next());
+        let in_flight: usize = value.unwrap_or("0").parse()?;
+        // A forwarded query counts twice, as a query and as a reply that is owed.
+        if in_flight >= 2 * QUERIES {
+            return Ok(());
+        }
+        sleep(POLL_PAUSE).await;
+    }
+    anyhow::bail!("the relay never held all queries")
+}
+
 #[tokio::test]
 async fn a_relay_that_drains_cuts_no_forwarded_query() -> Result<()> {
     let (mut path, relay, entry) = started(3).await?;
-    let before = path.seen().await?.calls;
-    let complete = query_through(&path, entry, async {
-        at_work(&path, before).await?;
+    path.set_behaviour(&Behaviour {
+        mean_ms: LONG_MS,
+        ..layout(3).behaviour
+    })
+    .await?;
+    let complete = query_through(&path, entry, LONG_DEADLINE_MS, async {
+        all_in_flight(&path, relay).await?;
         signal(&path, relay, Signal::SIGTERM)
     })
     .await?;
     assert_eq!(complete, QUERIES);
-    // No leaf call was made twice, so no forward was cut and repeated.
-    let seen = path.seen().await?;
-    assert!(seen.runs.values().all(|runs| *runs <= 4), "{:?}", seen.runs);
+    // A forward that is cut leads to another relay, so the answers alone do not show it.
+    let metrics = path.metrics(entry).await?;
+    let forwards = metrics
+        .lines()
+        .filter(|line| line.starts_with("wharf_forwards_total{"));
+    let cut: Vec<_> = forwards
+        .filter(|line| !line.contains("outcome=\"ok\""))
+        .collect();
+    assert!(cut.is_empty(), "{cut:?}");
     for _ in 0..MAX_POLLS {
         if path.hosts[relay].process.has_succeeded()? {
             let left: Vec<_> = (0..3).filter(|host| *host != relay).collect();
-            return await_members(&path, &left, 2).await;
+            return path.wait_for_member_count(&left, 2).await;
         }
         sleep(POLL_PAUSE).await;
     }
@@ -156,42 +151,42 @@
 async fn a_killed_relay_costs_no_repeatable_query() -> Result<()> {
     let (path, relay, entry) = started(3).await?;
     let before = path.seen().await?.calls;
-    let complete = query_through(&path, entry, async {
+    let complete = query_through(&path, entry, DEADLINE_MS, async {
         at_work(&path, before).await?;
         signal(&path, relay, Signal::SIGKILL)
     })
     .await?;
     assert_eq!(complete, QUERIES);
     let left: Vec<_> = (0..3).filter(|host| *host != relay).collect();
-    await_members(&path, &left, 2).await
+    path.wait_for_member_count(&left, 2).await
 }
 
 #[tokio::test]
 async fn a_frozen_relay_holds_no_query_until_its_deadline() -> Result<()> {
     let (path, relay, entry) = started(3).await?;
     let before = path.seen().await?.calls;
-    let complete = query_through(&path, entry, async {
+    let complete = query_through(&path, entry, DEADLINE_MS, async {
         at_work(&path, before).await?;
         signal(&path, relay, Signal::SIGSTOP)
     })
     .await?;
     assert_eq!(complete, QUERIES);
     let left: Vec<_> = (0..3).filter(|host| *host != relay).collect();
-    await_members(&path, &left, 2).await?;
+    path.wait_for_member_count(&left, 2).await?;
     signal(&path, relay, Signal::SIGCONT)?;
-    await_members(&path, &[0, 1, 2], 3).await
+    path.wait_for_member_count(&[0, 1, 2], 3).await
 }
 
 #[tokio::test]
 async fn a_host_that_the_list_misses_is_a_member() -> Result<()> {
     let seed = Path::start(layout(2)).await?;
     seed.configure().await?;
-    await_members(&seed, &[0, 1], 2).await?;
+    seed.wait_for_member_count(&[0, 1], 2).await?;
     let mut path = seed;
     path.add_host("host-9", "zone-2")?;
     // The list is not published again, so only the new host knows of the others.
     path.wait_for(path.hosts[2].entry_addr, "/readyz").await?;
-    await_members(&path, &[0, 1, 2], 3).await
+    path.wait_for_member_count(&[0, 1, 2], 3).await
 }
 
 #[tokio::test]
--- a/crates/process/fleet/tests/exchange.rs
+++ b/crates/process/fleet/tests/exchange.rs
@@ -54,6 +54,10 @@
 fn a_cut_region_neither_holds_up_the_others_nor_is_lost_for_good() {
     let mut net = settled();
     net.cut = Some(1);
+    // A list that has dropped the hosts leads nobody back to them.
+    for host in &mut net.hosts {
+        host.state.set_seeds(Vec::new());
+    }
     // The cut lasts for three minutes.
     net.rounds(360);
     net.adopt(0, 1);
--- a/crates/request/admit/tests/window.rs
+++ b/crates/request/admit/tests/window.rs
@@ -19,6 +19,13 @@
     }
 }
 
+/// Feeds a batch of queries that were alone.
+fn rest(window: &mut DelayAimd) {
+    for _ in 0..16 {
+        window.on_complete(&shown(8, 0), 1, Instant::now());
+    }
+}
+
 #[test]
 fn the_window_follows_delay_and_sheds_within_its_bounds() {
     let bounds = Bounds::for_slots(4, 20, 2);
@@ -52,25 +59,26 @@
 
 #[test]
 fn windows_that_share_slots_converge_to_a_fair_share() {
-    // Both see the same delay: that of all queries over 20 that run without queueing.
-    let mut windows = [
-        DelayAimd::new(Bounds::for_slots(8, 20, 1)),
-        DelayAimd::new(Bounds::for_slots(1, 20, 1)),
-    ];
-    assert!(windows[0].limit() >= 8 * windows[1].limit());
-    // Both have seen the service at rest.
-    for window in &mut windows {
-        window.on_complete(&shown(8, 0), 1, Instant::now());
-        for _ in 0..15 {
-            window.on_complete(&shown(8, 0), 1, Instant::now());
-        }
-    }
+    // Bounds that neither window meets, for they alone would bring the two together.
+    let mut windows = [DelayAimd::new(Bounds::for_slots(4, 20, 1)); 2];
+    // Both have seen the service at rest; then one grew alone, the other met sheds.
     for window in &mut windows {
-        window.set_bounds(Bounds::for_slots(4, 20, 1));
+        rest(window);
     }
-    for _ in 0..20_000 {
+    feed(&mut windows[0], 16 * 18, &shown(8, 0));
+    feed(&mut windows[1], 16 * 7, &shown(8, 1));
+    let [a, b] = windows.map(|window| window.limit());
+    assert!(a >= 2 * b, "{a} and {b}");
+    // From now on both see the same delay: that of all queries over 40 that run without queueing.
+    for i in 0..20_000 {
+        if i % 1_600 == 0 {
+            // Without a look at the service at rest the baseline would follow the load.
+            for window in &mut windows {
+                rest(window);
+            }
+        }
         let running: usize = windows.iter().map(Window::limit).sum();
-        let latency_ms = 8 * running.max(20) as u64 / 20;
+        let latency_ms = 8 * running.max(40) as u64 / 40;
         for window in &mut windows {
             feed(window, 1, &shown(latency_ms, 0));
         }
--- a/crates/test/fakes/src/process/control.rs
+++ b/crates/test/fakes/src/process/control.rs
@@ -10,7 +10,7 @@
         },
         upstream::{Behaviour, Seen},
     },
-    anyhow::{ensure, Context, Result},
+    anyhow::{bail, ensure, Context, Result},
     http::Method,
     std::net::SocketAddr,
     store::{ListedHost, Role},
@@ -101,20 +101,58 @@
     ///
     /// Returns an error if they do not within half a minute.
     pub async fn wait_for_members(&self) -> Result<()> {
+        let all: Vec<_> = (0..self.hosts.len()).collect();
+        self.wait_for_member_count(&all, all.len()).await
+    }
+
+    /// Waits until each of the given hosts knows exactly `count` members.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one does not within half a minute.
+    pub async fn wait_for_member_count(&self, hosts: &[usize], count: usize) -> Result<()> {
+        for _ in 0..MAX_POLLS {
+            let mut agreeing = 0;
+            for host in hosts {
+                let fleet = self.admin(*host, Method::GET, "/v1/admin/fleet", &[], "");
+                let members = fleet.await?.json()["members"].as_array().map(Vec::len);
+                agreeing += usize::from(members == Some(count));
+            }
+            if agreeing == hosts.len() {
+                return Ok(());
+            }
+            sleep(POLL_PAUSE).await;
+        }
+        bail!("the hosts {hosts:?} never knew {count} members")
+    }
+
+    /// Returns the exposition of a host's metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host does not answer.
+    pub async fn metrics(&self, host: usize) -> Result<String> {
+        let addr = self.hosts[host].admin_addr;
+        let answer = self.client.send(Method::GET, addr, "/metrics", &[], "");
+        Ok(answer.await?.text)
+    }
+
+    /// Returns the first host that has called an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if none has.
+    pub async fn relay(&self) -> Result<usize> {
         for host in 0..self.hosts.len() {
-            for polls in 0..=MAX_POLLS {
-                ensure!(polls < MAX_POLLS, "host {host} does not know the others");
-                let fleet = self.admin(host, Method::GET, "/v1/admin/fleet", &[], "");
-                let known = fleet.await?.json()["members"]
-                    .as_array()
-                    .map_or(0, Vec::len);
-                if known >= self.hosts.len() {
-                    break;
-                }
-                sleep(POLL_PAUSE).await;
+            if self
+                .metrics(host)
+                .await?
+                .contains("wharf_leaf_calls_total{")
+            {
+                return Ok(host);
             }
         }
-        Ok(())
+        bail!("no host has called an upstream")
     }
 
     /// Makes the platform keep its state.
