Cut two regions of real processes from each other

Cause: the loss of a region was shown for the exchange's decisions only.

A stand-in for the border between regions passes TCP and can be cut: nothing passes then and nothing ends, and what was under way arrives late. Hosts tell each other the address that they listen on, which would lead around the passage, so the passage translates addresses in the frames of hosts, as address translation does. Weighed: a flag for the address that a host states apart from the one it binds; one passage for each host can't tell which region a connection comes from then, and the product grows a flag for a test. The platform's list stays empty, since it names one address of a host to all; seeds take its place.

Four hosts, two a region, the platform in one of them. Both sides answer right after the cut and once they have lost each other; a change accepted on the side of the platform is in force there, and on both after the cut; no host goes back on the way; all know each other again.

Failed first, by mutants: 'silence is not watched': 504 deadline-exceeded right after the cut; 'lost hosts are not tried again': 'never knew 4 members'. No mutant breaks the check that no host goes back.

--- a/crates/test/fakes/src/lib.rs
+++ b/crates/test/fakes/src/lib.rs
@@ -4,6 +4,7 @@
 //! the whole path runs as separate processes without anything installed. Each
 //! takes its faults over a control path of its own below `/fake`.
 
+pub mod border;
 pub mod client;
 pub mod memory;
 pub mod platform;
--- a/crates/test/fakes/src/process/mod.rs
+++ b/crates/test/fakes/src/process/mod.rs
@@ -8,11 +8,13 @@
 mod path;
 mod port;
 mod records;
+mod regions;
 
 pub use self::{
     child::{run_program, Process},
     path::{HostProcess, Layout, Path},
     port::free_addr,
+    regions::Regions,
 };
 
 /// Bearer token of the hosts.
--- a/crates/test/fakes/src/process/path.rs
+++ b/crates/test/fakes/src/process/path.rs
@@ -64,6 +64,16 @@
     pub process: Process,
 }
 
+/// Where a host stands, and how it knows the platform.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HostPlace<'a> {
+    pub(super) id: &'a str,
+    pub(super) region: &'a str,
+    pub(super) zone: &'a str,
+    pub(super) peer_addr: SocketAddr,
+    pub(super) platform_addr: SocketAddr,
+}
+
 /// The whole path.
 pub struct Path {
     /// The hosts.
@@ -145,15 +155,32 @@
     ///
     /// Returns an error if the process does not start.
     pub fn add_host_with(&mut self, id: &str, zone: &str, flags: &[String]) -> Result<()> {
-        let (entry_addr, peer_addr, admin_addr) = (free_addr()?, free_addr()?, free_addr()?);
+        let place = HostPlace {
+            id,
+            region: "region-0",
+            zone,
+            peer_addr: free_addr()?,
+            platform_addr: self.platform_addr,
+        };
+        self.add_host_at(&place, flags)
+    }
+
+    pub(super) fn add_host_at(&mut self, place: &HostPlace<'_>, flags: &[String]) -> Result<()> {
+        let (entry_addr, admin_addr) = (free_addr()?, free_addr()?);
+        let HostPlace {
+            id,
+            zone,
+            peer_addr,
+            ..
+        } = *place;
         let mut arguments = vec![
             format!("--host-id={id}"),
-            "--region=region-0".to_owned(),
+            format!("--region={}", place.region),
             format!("--zone={zone}"),
             format!("--entry-addr={entry_addr}"),
             format!("--peer-addr={peer_addr}"),
             format!("--admin-addr={admin_addr}"),
-            format!("--platform-addr={}", self.platform_addr),
+            format!("--platform-addr={}", place.platform_addr),
             format!("--admin-token={ADMIN_TOKEN}"),
             "--balancer-lag-ms=100".to_owned(),
             "--log-level=warn".to_owned(),
