Show the end of the longest drain with work in flight

Upstreams hold queries and bookings while an entry, or a relay, is stopped with a drain of 300 ms. What the entry cuts is answered 'draining' with 'ran: unknown'; what the relay cuts is that for bookings, while a repeatable query goes to another relay and completes. The process ends with 0.

--- a/crates/bin/wharf/tests/drain.rs
+++ b/crates/bin/wharf/tests/drain.rs
@@ -1,7 +1,7 @@
 //! A host that shuts down while queries keep coming cuts none of them.
 
 use {
-    anyhow::{Context, Result},
+    anyhow::{ensure, Context, Result},
     fakes::{
         client::Answer,
         process::{Layout, Path},
@@ -13,6 +13,7 @@
         sys::signal::{kill, Signal},
         unistd::Pid,
     },
+    serde_json::json,
     std::{collections::BTreeSet, time::Duration},
     tokio::time::sleep,
 };
@@ -22,7 +23,11 @@
 /// Queries on their way when the host is asked to stop, and again after it; few
 /// enough that the gate has room for all.
 const QUERIES: usize = 20;
-const EXIT_POLLS: usize = 1_500;
+/// Queries and bookings that are in flight at the end of the longest drain.
+const CUT: usize = 2;
+/// Execution time that outlasts every drain and deadline here, in milliseconds.
+const ENDLESS_MS: f64 = 120_000.0;
+const MAX_POLLS: usize = 1_500;
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 
 #[tokio::test]
@@ -35,6 +40,113 @@
     drain_under_load(Drained::Relay).await
 }
 
+#[tokio::test]
+async fn an_entry_at_the_end_of_its_longest_drain_says_that_it_does_not_know() -> Result<()> {
+    let (mut path, _, entry) = start_with_short_drain().await?;
+    let (queries, bookings) = cut(&path, entry, entry, 0.0).await?;
+    for answer in queries.iter().chain(&bookings) {
+        assert_is_cut(answer);
+    }
+    wait_for_exit(&mut path, entry).await
+}
+
+#[tokio::test]
+async fn a_relay_at_the_end_of_its_longest_drain_loses_no_repeatable_query() -> Result<()> {
+    let (mut path, relay, entry) = start_with_short_drain().await?;
+    let (queries, bookings) = cut(&path, entry, relay, 1.0).await?;
+    for answer in &bookings {
+        assert_is_cut(answer);
+    }
+    for answer in &queries {
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+        assert_eq!(answer.json()["coverage"]["missing"], json!([]));
+    }
+    wait_for_exit(&mut path, relay).await
+}
+
+/// Starts hosts that give up what is in flight soon after they are asked to stop.
+async fn start_with_short_drain() -> Result<(Path, usize, usize)> {
+    let path = Path::start(Layout {
+        hosts: HOSTS,
+        shards: SHARDS,
+        host_flags: vec!["--max-drain-ms=300".to_owned()],
+        ..Layout::default()
+    })
+    .await?;
+    path.configure().await?;
+    // A second call to a slow shard could answer before the drain ends.
+    let no_hedges = "[route.hedge]\nquantile = 0.0\nbudget_share = 0.0\n";
+    path.put_record(&Path::route_toml("shortfall", 2, true, no_hedges))
+        .await?;
+    path.put_record(&Path::route_toml("tow-slot", 1, false, ""))
+        .await?;
+    path.wait_for_revision(4).await?;
+    path.wait_for_members().await?;
+    let (relay, entry) = relay_and_entry(&path).await?;
+    // A request that no host has seen yet goes to one upstream first.
+    let headers = [("idempotency-key", "first")];
+    path.query(entry, "tow-slot", &headers, "{}").await?;
+    Ok((path, relay, entry))
+}
+
+/// Stops a host while upstreams hold queries and bookings; returns their answers.
+///
+/// What reaches the upstreams after the stop takes `later_ms`, if that is above zero.
+async fn cut(
+    path: &Path,
+    entry: usize,
+    stopped: usize,
+    later_ms: f64,
+) -> Result<(Vec<Answer>, Vec<Answer>)> {
+    path.set_behaviour(&Behaviour {
+        mean_ms: ENDLESS_MS,
+        ..Behaviour::default()
+    })
+    .await?;
+    let calls_before = path.seen().await?.calls;
+    let send = |route: &'static str, i: usize| async move {
+        let key = format!("{route}-{i}");
+        let headers = [("x-wharf-deadline-ms", "20000"), ("idempotency-key", &key)];
+        path.query(entry, route, &headers, "{}").await
+    };
+    let queries = join_all((0..CUT).map(|i| send("shortfall", i)));
+    let bookings = join_all((0..CUT).map(|i| send("tow-slot", i)));
+    let stop = async {
+        let all_calls = u64::try_from(2 * CUT * SHARDS)?;
+        let mut polls = 0;
+        while path.seen().await?.calls < calls_before + all_calls {
+            polls += 1;
+            ensure!(polls < MAX_POLLS, "not every call reaches an upstream");
+            sleep(POLL_PAUSE).await;
+        }
+        if later_ms > 0.0 {
+            path.set_behaviour(&Behaviour {
+                mean_ms: later_ms,
+                ..Behaviour::default()
+            })
+            .await?;
+        }
+        stop(path, stopped)
+    };
+    let (queries, bookings, stopped) = tokio::join!(queries, bookings, stop);
+    stopped?;
+    let queries: Result<_> = queries.into_iter().collect();
+    let bookings: Result<_> = bookings.into_iter().collect();
+    Ok((queries?, bookings?))
+}
+
+fn assert_is_cut(answer: &Answer) {
+    let body = answer.json();
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{body}");
+    assert_eq!(body["kind"], "draining", "{body}");
+    assert_eq!(body["ran"], "unknown", "{body}");
+}
+
+fn stop(path: &Path, host: usize) -> Result<()> {
+    let pid = i32::try_from(path.hosts[host].process.pid())?;
+    Ok(kill(Pid::from_raw(pid), Signal::SIGTERM)?)
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Drained {
     Entry,
@@ -54,8 +166,7 @@
     })
     .await?;
     path.configure().await?;
-    let relay = find_relay(&path).await?;
-    let entry = (0..HOSTS).find(|host| *host != relay).context("no entry")?;
+    let (relay, entry) = relay_and_entry(&path).await?;
     let stopped = match drained {
         Drained::Entry => entry,
         Drained::Relay => relay,
@@ -65,8 +176,7 @@
     let stop = async {
         // The first queries have reached the upstreams by then.
         while path.seen().await?.runs.len() == ran_before.len() {}
-        let pid = i32::try_from(path.hosts[stopped].process.pid())?;
-        kill(Pid::from_raw(pid), Signal::SIGTERM)?;
+        stop(&path, stopped)?;
         send_all(&path, entry).await
     };
     let (before, after) = tokio::join!(before, stop);
@@ -83,21 +193,14 @@
     wait_for_exit(&mut path, stopped).await
 }
 
-/// Finds the relay: only its own queries take no hop, so it alone opens upstream connections.
-async fn find_relay(path: &Path) -> Result<usize> {
+/// Finds the relay and an entry that is none.
+async fn relay_and_entry(path: &Path) -> Result<(usize, usize)> {
     for host in 0..HOSTS {
         path.query(host, "shortfall", &[], "{}").await?;
     }
-    for (i, host) in path.hosts.iter().enumerate() {
-        let answer = path
-            .client
-            .send(http::Method::GET, host.admin_addr, "/metrics", &[], "")
-            .await?;
-        if answer.text.contains("wharf_leaf_calls") {
-            return Ok(i);
-        }
-    }
-    anyhow::bail!("no host has called an upstream")
+    let relay = path.relay().await?;
+    let entry = (0..HOSTS).find(|host| *host != relay).context("no entry")?;
+    Ok((relay, entry))
 }
 
 async fn send_all(path: &Path, entry: usize) -> Result<Vec<Answer>> {
@@ -127,7 +230,7 @@
 }
 
 async fn wait_for_exit(path: &mut Path, host: usize) -> Result<()> {
-    for _ in 0..EXIT_POLLS {
+    for _ in 0..MAX_POLLS {
         if path.hosts[host].process.has_succeeded()? {
             return Ok(());
         }
