--- a/crates/process/fleet/src/lib.rs
+++ b/crates/process/fleet/src/lib.rs
@@ -38,6 +38,6 @@
     },
     wire::{
         is_spoken, ClaimCall, ClaimReply, Held, Peer, PeerClient, PeerRequest, PeerResponse,
-        QueryAnswer, QueryCall, WireOutcome, WireRows, PROTOCOL_VERSION,
+        QueryAnswer, QueryCall, WireError, WireOutcome, WireRows, PROTOCOL_VERSION,
     },
 };
--- a/crates/process/host/src/peer.rs
+++ b/crates/process/host/src/peer.rs
@@ -14,7 +14,7 @@
     },
     fleet::{
         is_spoken, ClaimCall, ClaimReply, Held, Message, Peer, PeerClient, QueryAnswer, QueryCall,
-        WireMessage, PROTOCOL_VERSION,
+        WireError, WireMessage, PROTOCOL_VERSION,
     },
     futures::StreamExt,
     kind::{Error, Kind, Ran, Result},
@@ -139,7 +139,8 @@
     ) -> Result<Result<QueryAnswer>, Lost> {
         let connection = self.connection(shared, addr).await?;
         let answer = connection.client.query(context_until(deadline), call);
-        self.answer(shared, addr, &connection, answer).await
+        let answer = self.answer(shared, addr, &connection, answer).await?;
+        Ok(answer.map_err(Error::from))
     }
 
     /// Sends a claim to the host at `addr`.
@@ -154,7 +155,8 @@
     ) -> Result<Result<ClaimReply>, Lost> {
         let connection = self.connection(shared, addr).await?;
         let answer = connection.client.claim(context_until(deadline), call);
-        self.answer(shared, addr, &connection, answer).await
+        let answer = self.answer(shared, addr, &connection, answer).await?;
+        Ok(answer.map_err(Error::from))
     }
 
     /// Waits for the answer to a call while its connection is not silent.
@@ -336,21 +338,23 @@
 }
 
 impl Peer for PeerServer {
-    async fn query(self, _: Context, call: QueryCall) -> Result<QueryAnswer> {
+    async fn query(self, _: Context, call: QueryCall) -> Result<QueryAnswer, WireError> {
         check_version(call.protocol_version)?;
         select! {
             biased;
-            answer = relay::serve(&self.shared, call) => answer,
-            error = self.shared.life.given_up() => Err(error),
+            answer = relay::serve(&self.shared, call) => answer.map_err(WireError::from),
+            error = self.shared.life.given_up() => Err(error.into()),
         }
     }
 
-    async fn claim(self, _: Context, call: ClaimCall) -> Result<ClaimReply> {
+    async fn claim(self, _: Context, call: ClaimCall) -> Result<ClaimReply, WireError> {
         check_version(call.protocol_version)?;
-        claims::write_for_peer(&self.shared, call).await
+        claims::write_for_peer(&self.shared, call)
+            .await
+            .map_err(WireError::from)
     }
 
-    async fn exchange(self, _: Context, message: WireMessage) -> Result<WireMessage> {
+    async fn exchange(self, _: Context, message: WireMessage) -> Result<WireMessage, WireError> {
         self.traffic.mark_control();
         check_version(message.protocol_version)?;
         Ok(self.shared.members.on_request(&message.into()).into())
