Model check the retirement of a service against a put of its route

The model now takes an error for 'unknown' by what it says of execution, not by its kind, since a refused repeat keeps its kind and says `ran: unknown`.

--- a/crates/test/model/src/commit.rs
+++ b/crates/test/model/src/commit.rs
@@ -9,7 +9,7 @@
     crate::{Model, Step},
     bytes::Bytes,
     fakes::memory::MemoryStore,
-    kind::{Kind, Result},
+    kind::{Ran, Result},
     record::{
         judge, Change, Head, NamedBody, OperationId, Precondition, RecordId, RecordKind, Revision,
         Source, Stamp, Verdict,
@@ -33,6 +33,8 @@
     AdoptAnything,
     /// Hosts adopt any higher revision, whatever its origin.
     IgnoreDescent,
+    /// The service of a route is looked for before the commit, not on its head.
+    ServiceCheckedBefore,
 }
 
 /// How large the specification is.
@@ -46,6 +48,9 @@
     pub hosts: usize,
     /// Number of faults that may occur.
     pub faults: u8,
+    /// Whether the first operator puts a route on the record at the start, a
+    /// service, and the others retire it; else all of them put that record.
+    pub has_route: bool,
     /// Whether the store may be restored to the state of the start.
     pub may_restore: bool,
     /// Rule that is replaced.
@@ -151,6 +156,9 @@
             return state.broken;
         }
         let head = head_of(&state.store);
+        if is_dangling(&head) {
+            return Some("a route was left without its service");
+        }
         for (i, operator) in state.operators.iter().enumerate() {
             let count = head
                 .operations
@@ -189,7 +197,7 @@
 
 impl Commits {
     fn begin(&self, state: &State, i: usize, repeats: u8) -> Operator {
-        let mut commit = Commit::new(change(i), self.stamp(i, repeats))
+        let mut commit = Commit::new(self.change(i), self.stamp(i, repeats))
             .with_bodies(self.bodies(i))
             .with_precondition(match self.is_conditional {
                 true => Precondition::Record(1),
@@ -209,6 +217,27 @@
         operator
     }
 
+    fn change(&self, i: usize) -> Change {
+        match (self.has_route, i) {
+            (false, _) => change(i),
+            (true, 0) => Change::Put(self.route()),
+            (true, _) => Change::Retire { id: record_id() },
+        }
+    }
+
+    fn route(&self) -> NamedBody {
+        // The service is there when the operators begin.
+        let is_checked = self.mutant != Some(Mutant::ServiceCheckedBefore);
+        NamedBody {
+            id: RecordId {
+                kind: RecordKind::Route,
+                ..record_id()
+            },
+            key: body_key(0),
+            service: is_checked.then(|| record_id().name),
+        }
+    }
+
     fn bodies(&self, i: usize) -> Vec<Body> {
         let body = Body {
             key: body_key(i),
@@ -419,7 +448,7 @@
 fn told(result: Result<Committed>) -> Told {
     match result {
         Ok(committed) => Told::Committed(committed.revision),
-        Err(error) if error.kind() == Kind::StoreUnknown => Told::Unknown,
+        Err(error) if error.ran() == Ran::Unknown => Told::Unknown,
         Err(_) => Told::Refused,
     }
 }
@@ -432,9 +461,15 @@
     format!("body-{i}")
 }
 
+/// Returns whether a route is in force without the service, which is the only one.
+fn is_dangling(head: &Head) -> bool {
+    let has = |kind| head.entries.iter().any(|entry| entry.id.kind == kind);
+    has(RecordKind::Route) && !has(RecordKind::Service)
+}
+
 fn record_id() -> RecordId {
     RecordId {
-        kind: RecordKind::Route,
+        kind: RecordKind::Service,
         name: "shortfall".to_owned(),
         version: 1,
     }
--- a/crates/test/model/tests/commit.rs
+++ b/crates/test/model/tests/commit.rs
@@ -10,6 +10,7 @@
     is_conditional: true,
     hosts: 1,
     faults: 3,
+    has_route: false,
     may_restore: false,
     mutant: None,
 };
@@ -19,6 +20,7 @@
     is_conditional: true,
     hosts: 2,
     faults: 1,
+    has_route: false,
     may_restore: true,
     mutant: None,
 };
@@ -28,16 +30,28 @@
     is_conditional: false,
     hosts: 2,
     faults: 0,
+    has_route: false,
     may_restore: true,
     mutant: None,
 };
 
+const RETIRING: Commits = Commits {
+    operators: 2,
+    is_conditional: false,
+    hosts: 1,
+    faults: 3,
+    has_route: true,
+    may_restore: false,
+    mutant: None,
+};
+
 #[test]
 fn accepted_changes_stay_and_refused_ones_never_come() {
     for (what, model) in [
         ("racing", RACING),
         ("adopting", ADOPTING),
         ("forking", FORKING),
+        ("retiring", RETIRING),
     ] {
         let report = explore(&model);
         println!(
@@ -79,6 +93,11 @@
             Mutant::IgnoreDescent,
             "a change in force was lost by adoption",
         ),
+        (
+            RETIRING,
+            Mutant::ServiceCheckedBefore,
+            "a route was left without its service",
+        ),
     ];
     for (model, mutant, promise) in cases {
         let model = Commits {
