--- a/crates/process/store/src/lib.rs
+++ b/crates/process/store/src/lib.rs
@@ -13,6 +13,8 @@
 mod http;
 mod load;
 mod platform;
+mod prepare;
+mod step;
 
 pub use crate::{
     body::Body,
@@ -25,11 +27,13 @@
         RangeView,
     },
     claim_log::{claim_range, ClaimRange, CLAIM_RANGES},
-    commit::{commit, Commit, CommitEvent, CommitStep, Committed, KEPT_FOR},
+    commit::{commit, Commit, Committed},
     history::{body_key_at, find_operation, load_history, MAX_HISTORY},
     http::HttpPlatform,
     load::{load_body, load_bundle, load_head, HEAD_KEY},
     platform::{Expected, Fault, KeyRevision, LeaseId, ListedHost, Platform, Role, Value},
+    prepare::KEPT_FOR,
+    step::{CommitEvent, CommitStep},
 };
 
 use crate::history::{history_key, operation_key, read_operation};
