Limit the calls in flight to a server that sheds

Each server had the limit that its stated slots give, so one with less room was sent calls that it refused. The turn at a server and the choice between replicas follow it: a call that would have to wait goes to the replica where fewer wait.

Found by the whole-path test: without an end by time a host that gets no replies from the server any more kept it limited for good ('never 0 servers are limited').

--- a/crates/bin/wharf/tests/upstreams.rs
+++ b/crates/bin/wharf/tests/upstreams.rs
@@ -208,6 +208,48 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_server_that_sheds_gets_fewer_calls_until_it_has_room() -> Result<()> {
+    let path = Path::start(Layout::default()).await?;
+    path.configure().await?;
+    let shedding = Behaviour {
+        is_shedding: true,
+        ..Behaviour::default()
+    };
+    let server = first_servers(&path)[0];
+    for (behaviour, limited) in [(shedding, 1), (Behaviour::default(), 0)] {
+        path.set_one_behaviour(server, &behaviour).await?;
+        await_limited(&path, limited).await?;
+    }
+    Ok(())
+}
+
+/// Sends queries until the host that limits most servers limits this many.
+async fn await_limited(path: &Path, limited: u64) -> Result<()> {
+    for wave in 0..200 {
+        complete_of(path, 10, 4, wave * 40).await?;
+        let mut most = 0;
+        for host in &path.hosts {
+            most = most.max(limited_servers(path, host.admin_addr).await?);
+        }
+        if most == limited {
+            return Ok(());
+        }
+    }
+    anyhow::bail!("never {limited} servers are limited")
+}
+
+async fn limited_servers(path: &Path, admin_addr: SocketAddr) -> Result<u64> {
+    let answer = path
+        .client
+        .send(Method::GET, admin_addr, "/metrics", &[], "")
+        .await?;
+    let mut lines = answer.text.lines();
+    let line = lines.find(|line| line.starts_with("wharf_limited_servers"));
+    let value = line.and_then(|line| line.rsplit(' ').next());
+    Ok(value.unwrap_or("0").parse()?)
+}
+
 /// Waits until a host knows a route.
 async fn await_route(path: &Path, host: usize, route: &str) -> Result<()> {
     for _ in 0..500 {
--- a/crates/connection/link/src/lib.rs
+++ b/crates/connection/link/src/lib.rs
@@ -5,6 +5,7 @@
 //! shards, each under its own lock.
 
 mod back_off;
+mod call_limit;
 mod delta;
 mod evidence;
 mod fingerprint;
--- a/crates/connection/link/src/server.rs
+++ b/crates/connection/link/src/server.rs
@@ -6,7 +6,7 @@
 //! exception is its word that it drains, which no server gains from giving.
 
 use {
-    crate::{BackOff, Evidence, Refusal, Stated},
+    crate::{call_limit::CallLimit, BackOff, Evidence, Refusal, Stated},
     std::time::{Duration, Instant},
 };
 
@@ -63,6 +63,7 @@
     is_listed_as_leaving: bool,
     drains_until: Option<Instant>,
     load: Option<StatedLoad>,
+    pub(crate) call_limit: CallLimit,
 }
 
 impl Server {
@@ -78,6 +79,7 @@
             is_listed_as_leaving: false,
             drains_until: None,
             load: None,
+            call_limit: CallLimit::default(),
         }
     }
 
@@ -89,7 +91,10 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         match evidence {
             Evidence::Replied(first_byte) => self.on_reply(first_byte, now),
-            Evidence::Refused(Refusal::Shed) => self.shed.on_failure(jitter, now),
+            Evidence::Refused(Refusal::Shed) => {
+                self.shed.on_failure(jitter, now);
+                self.call_limit.on_shed(now);
+            }
             Evidence::Refused(Refusal::Draining) => self.on_drain(DrainSign::Own, now),
             Evidence::Died | Evidence::Unreachable => self.on_failure(jitter, now),
             Evidence::Cancelled(waited) => self.on_cancelled(waited, now),
@@ -116,6 +121,7 @@
         self.failures = 0;
         self.held_out.on_success();
         self.shed.on_success();
+        self.call_limit.on_reply(now);
     }
 
     /// A call without a reply shows that the latency is at least the time waited.
--- a/crates/connection/link/src/table.rs
+++ b/crates/connection/link/src/table.rs
@@ -77,8 +77,8 @@
         choose(&usable, chance)
     }
 
-    /// Picks as [`ServerTable::pick`] does, but where calls are `waiting` for
-    /// that server another one for which fewer wait.
+    /// Picks as [`ServerTable::pick`] does, but where a call would have to wait
+    /// for that server another one with fewer `waiting`.
     pub fn pick_in_turn<C: Chance>(
         &self,
         shard: &Shard,
@@ -120,6 +120,11 @@
         self.with(addr, now, |server| server.on_end(evidence, jitter, now));
     }
 
+    /// Returns how many calls this host keeps in flight to a server, of the `stated` ones.
+    pub fn call_limit(&self, addr: ServerAddr, stated: usize, now: Instant) -> usize {
+        self.with(addr, now, |server| server.call_limit.of(stated, now))
+    }
+
     /// Takes what a server said about itself.
     pub fn on_stated(&self, addr: ServerAddr, stated: Stated, now: Instant) {
         self.with(addr, now, |server| server.on_stated(stated, now));
@@ -153,6 +158,17 @@
         draining
     }
 
+    /// Returns the number of servers that get fewer calls at once than is stated.
+    pub fn limited(&self, now: Instant) -> usize {
+        let count = |part: &Mutex<Part>| {
+            let part = part.lock();
+            part.values()
+                .filter(|server| server.call_limit.is_reduced(now))
+                .count()
+        };
+        self.parts.iter().map(count).sum()
+    }
+
     /// Evicts the servers that are in no record any more.
     pub fn retain(&self, in_use: &HashSet<ServerAddr>) {
         for part in &self.parts {
--- a/crates/connection/link/tests/table.rs
+++ b/crates/connection/link/tests/table.rs
@@ -80,6 +80,37 @@
     assert_eq!(picks(&table, &shard, now).get(&1), None);
 }
 
+#[test]
+fn a_server_that_sheds_gets_fewer_calls_until_it_replies_again() {
+    const STATED: usize = 4;
+    let shard = shard(2);
+    let (table, now) = settled(&shard);
+    let limit = |port| table.call_limit(addr(port), STATED, now);
+    for _ in 0..20 {
+        end(&table, 1, Evidence::Refused(Refusal::Shed), now);
+    }
+    // One call is always allowed, or no reply could raise the limit again.
+    assert_eq!((limit(1), limit(2), table.limited(now)), (1, STATED, 1));
+    // No longer held out, the other replica comes first while a call would wait.
+    let now = now + ms(2_000);
+    let waiting = |server| usize::from(server == addr(1));
+    let mut random = StdRng::seed_from_u64(1);
+    let mut pick = |tried: &[ServerAddr]| {
+        let mut chance = || random.random();
+        table.pick_in_turn(&shard, tried, waiting, &mut chance, now)
+    };
+    assert_eq!(pick(&[]), Some(addr(2)));
+    assert_eq!(pick(&[addr(2)]), Some(addr(1)), "no other one is left");
+    for _ in 0..100 {
+        end(&table, 1, Evidence::Replied(ms(5)), now);
+    }
+    assert_eq!((limit(1), table.limited(now)), (STATED, 0));
+    // Nor does it last without replies.
+    end(&table, 1, Evidence::Refused(Refusal::Shed), now);
+    assert_eq!(table.limited(now), 1);
+    assert_eq!(table.limited(now + RAMPED), 0);
+}
+
 #[test]
 fn draining_servers_get_nothing_whoever_says_it() {
     for sign in [DrainSign::Own, DrainSign::Listed, DrainSign::Peer] {
--- a/crates/process/host/src/relay/gate/in_turn.rs
+++ b/crates/process/host/src/relay/gate/in_turn.rs
@@ -18,7 +18,7 @@
 
 impl Upstreams for InTurn<'_> {
     fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], now: Instant) -> Option<ServerAddr> {
-        let waiting = |server| self.place.waiting(server);
+        let waiting = |server| self.place.would_wait(server, self.servers, now);
         self.servers
             .pick_in_turn(shard, tried, waiting, &mut rand::random::<f64>, now)
     }
--- a/crates/process/host/src/relay/gate/mod.rs
+++ b/crates/process/host/src/relay/gate/mod.rs
@@ -18,6 +18,7 @@
     admit::{Bounds, Config, DelayAimd, Fixed, Gate},
     fleet::QueryCall,
     kind::{Error, Ran, Result},
+    link::ServerTable,
     parking_lot::{Mutex, RwLock},
     plan::{LeafFailure, Reason},
     record::{ByRank, InForce, Rank, Revision, ServerAddr, Service},
@@ -113,8 +114,12 @@
     /// # Errors
     ///
     /// Returns a failure once the deadline has passed; the call was not made.
-    pub(crate) async fn turn(&self, server: ServerAddr) -> Result<Turn, LeafFailure> {
-        let door = self.gate.server(server);
+    pub(crate) async fn turn(
+        &self,
+        server: ServerAddr,
+        servers: &ServerTable,
+    ) -> Result<Turn, LeafFailure> {
+        let door = self.gate.server(server, servers, Instant::now());
         let passed = door.pass(&self.passer).await;
         passed.map_err(|_| LeafFailure {
             reason: Reason::Deadline,
@@ -123,12 +128,10 @@
         })
     }
 
-    /// Returns the number of calls that wait for a turn at `server`.
-    fn waiting(&self, server: ServerAddr) -> usize {
-        self.gate.server(server).with_gate(|gate| {
-            let lines = Rank::ALL.into_iter().map(|rank| gate.waiting(rank));
-            lines.sum()
-        })
+    /// Returns how many calls would wait for a turn at `server` with one more.
+    fn would_wait(&self, server: ServerAddr, servers: &ServerTable, now: Instant) -> usize {
+        let door = self.gate.server(server, servers, now);
+        door.with_gate(|gate| gate.would_wait())
     }
 }
 
@@ -176,8 +179,10 @@
         self.servers.lock().clear();
     }
 
-    fn server(&self, addr: ServerAddr) -> Arc<Door<Fixed>> {
+    /// Returns the door of a server, with the limit that the server bears by now.
+    fn server(&self, addr: ServerAddr, table: &ServerTable, now: Instant) -> Arc<Door<Fixed>> {
         let built_for = *self.built_for.lock();
+        let limit = table.call_limit(addr, built_for.calls_per_server, now);
         let mut servers = self.servers.lock();
         let door = servers.entry(addr).or_insert_with(|| {
             // The window of the service bounds what waits here.
@@ -185,10 +190,12 @@
                 .floor_share(built_for.floor_share)
                 .reserve_share(CALL_RESERVE_SHARE)
                 .max_waiting(usize::MAX);
-            let window = Fixed::new(built_for.calls_per_server);
-            Arc::new(Door::new(Gate::new(config, window)))
+            Arc::new(Door::new(Gate::new(config, Fixed::new(limit))))
         });
-        Arc::clone(door)
+        let door = Arc::clone(door);
+        drop(servers);
+        door.with_gate(|gate| gate.window_mut().set(limit));
+        door
     }
 }
 
--- a/crates/process/host/src/relay/query.rs
+++ b/crates/process/host/src/relay/query.rs
@@ -168,7 +168,7 @@
     async fn call_in_turn(&self, mut call: LeafCall) -> Event<Rows> {
         let asked = Instant::now();
         self.tally.set_wait(call.attempt_id, None);
-        let _turn = match self.place.turn(call.server).await {
+        let _turn = match self.place.turn(call.server, &self.shared.servers).await {
             Ok(turn) => turn,
             Err(failure) => return Event::Failed(call.attempt_id, failure),
         };
--- a/crates/process/host/src/relay/upkeep.rs
+++ b/crates/process/host/src/relay/upkeep.rs
@@ -33,6 +33,8 @@
 }
 
 fn publish_counts(shared: &Shared) {
+    let limited = shared.servers.limited(Instant::now());
+    shared.metrics.on_limited_servers(limited);
     let counts = shared.pools.counts();
     for (event, count) in [("repeat", &counts.repeated), ("at-limit", &counts.refused)] {
         for _ in 0..count.swap(0, Ordering::Relaxed) {
--- a/crates/process/meter/src/metrics.rs
+++ b/crates/process/meter/src/metrics.rs
@@ -54,6 +54,7 @@
     gate_wait_ms: Histogram<f64>,
     gate_refusals: Counter<u64>,
     gate_window: Gauge<u64>,
+    limited_servers: Gauge<u64>,
     exchange_bytes: Counter<u64>,
     members: Gauge<u64>,
     forwards: Counter<u64>,
@@ -113,6 +114,10 @@
                 .u64_gauge("wharf_gate_window")
                 .with_description("Queries of a service that this relay runs at once")
                 .build(),
+            limited_servers: meter
+                .u64_gauge("wharf_limited_servers")
+                .with_description("Upstreams that get fewer calls at once than their slots")
+                .build(),
             exchange_bytes: meter
                 .u64_counter("wharf_exchange_bytes")
                 .with_description("Bytes of the exchange with peers, by direction")
@@ -207,6 +212,11 @@
         self.gate_window.record(window as u64, &labels);
     }
 
+    /// Takes the number of upstreams that get fewer calls at once than their slots.
+    pub fn on_limited_servers(&self, count: usize) {
+        self.limited_servers.record(count as u64, &[]);
+    }
+
     /// Counts bytes of the exchange, `sent` or `received`.
     pub fn on_exchange_bytes(&self, direction: &'static str, bytes: u64) {
         let labels = [KeyValue::new("direction", direction)];
--- a/crates/request/admit/src/gate.rs
+++ b/crates/request/admit/src/gate.rs
@@ -133,6 +133,11 @@
         starts.min()
     }
 
+    /// Returns the window for its owner to change.
+    pub fn window_mut(&mut self) -> &mut W {
+        &mut self.window
+    }
+
     /// Returns the number of queries that may run at once.
     pub fn window(&self) -> usize {
         self.window.limit()
@@ -143,6 +148,13 @@
         self.running.len()
     }
 
+    /// Returns how many would wait with one more; none where that one finds room.
+    pub fn would_wait(&self) -> usize {
+        let waiting: usize = self.lines.iter().map(|(_, line)| line.len()).sum();
+        let room = self.window.limit().saturating_sub(self.running.len());
+        (waiting + 1).saturating_sub(room)
+    }
+
     /// Returns the number of queries of `rank` that are waiting.
     pub fn waiting(&self, rank: Rank) -> usize {
         self.lines.get(rank).len()
--- a/crates/request/admit/src/window/fixed.rs
+++ b/crates/request/admit/src/window/fixed.rs
@@ -1,11 +1,11 @@
-//! A window that never changes.
+//! A window whose owner sets its size.
 
 use {
     crate::{Bounds, Shown, Window},
     std::time::Instant,
 };
 
-/// A window of constant size, for comparison.
+/// A window of a size that only its owner changes.
 #[derive(Clone, Copy, Debug)]
 pub struct Fixed(usize);
 
@@ -14,6 +14,11 @@
     pub fn new(limit: usize) -> Self {
         Self(limit.max(1))
     }
+
+    /// Sets the limit, at least one.
+    pub fn set(&mut self, limit: usize) {
+        self.0 = limit.max(1);
+    }
 }
 
 impl Window for Fixed {
--- a/crates/test/trial/src/door.rs
+++ b/crates/test/trial/src/door.rs
@@ -55,13 +55,9 @@
         self.0.borrow().gate.window()
     }
 
-    /// Returns the number of those who wait.
-    pub(crate) fn waiting(&self) -> usize {
-        let state = self.0.borrow();
-        Rank::ALL
-            .into_iter()
-            .map(|rank| state.gate.waiting(rank))
-            .sum()
+    /// Returns what `change` returns for the gate.
+    pub(crate) fn with_gate<T>(&self, change: impl FnOnce(&mut Gate<W>) -> T) -> T {
+        change(&mut self.0.borrow_mut().gate)
     }
 
     pub(crate) async fn pass(self: &Rc<Self>, passer: &Passer) -> Result<Place<W>, Refusal> {
--- a/crates/test/trial/src/query.rs
+++ b/crates/test/trial/src/query.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         door::Passer,
-        relay::{CallGuard, LeafKind, Relay},
+        relay::{CallGuard, Relay},
         service::position_of,
     },
     admit::{RefusalKind, Shown},
@@ -67,7 +67,7 @@
 
 impl Upstreams for InTurn<'_> {
     fn pick(&mut self, shard: &Shard, tried: &[ServerAddr], now: Instant) -> Option<ServerAddr> {
-        let waiting = |server| self.relay.waiting(server);
+        let waiting = |server| self.relay.would_wait(server);
         let mut chance = || self.relay.random.borrow_mut().random();
         self.relay
             .servers
@@ -236,10 +236,10 @@
     ) -> Result<(), Reason> {
         let position = position_of(server);
         let pool = &self.pools[position];
-        let place = match &self.leaf {
-            LeafKind::Direct => None,
-            LeafKind::Queued(doors) => {
-                let passed = doors[position].pass(passer).await;
+        let place = match self.server_door(server) {
+            None => None,
+            Some(door) => {
+                let passed = door.pass(passer).await;
                 Some(passed.map_err(|_| Reason::Deadline)?)
             }
         };
--- a/crates/test/trial/src/relay.rs
+++ b/crates/test/trial/src/relay.rs
@@ -31,7 +31,7 @@
 /// What stands between a query and the connections.
 pub(crate) enum LeafKind {
     Direct,
-    Queued(Vec<Rc<Door<Fixed>>>),
+    Queued(Vec<Rc<Door<Fixed>>>, usize),
 }
 
 /// One relay of the service.
@@ -59,7 +59,11 @@
         };
         let leaf = match trial.gate_kind {
             GateKind::Query => LeafKind::Direct,
-            GateKind::Leaf | GateKind::Both => LeafKind::Queued(leaf_doors(trial, clock)),
+            GateKind::Leaf | GateKind::Both => {
+                let calls = f64::from(service.slots) * trial.leaf_calls_per_slot;
+                let stated = (calls / trial.relays as f64).ceil() as usize;
+                LeafKind::Queued(leaf_doors(trial, stated, clock), stated)
+            }
         };
         let connections = service.connection_limit as f64 * CONNECTION_SHARE;
         let limit = (connections / trial.relays as f64) as usize;
@@ -79,12 +83,21 @@
         }
     }
 
-    /// Returns the number of calls that wait for a turn at `server`.
-    pub(crate) fn waiting(&self, server: ServerAddr) -> usize {
-        match &self.leaf {
-            LeafKind::Direct => 0,
-            LeafKind::Queued(doors) => doors[position_of(server)].waiting(),
-        }
+    /// Returns how many calls would wait for a turn at `server` with one more.
+    pub(crate) fn would_wait(&self, server: ServerAddr) -> usize {
+        self.server_door(server)
+            .map_or(0, |door| door.with_gate(|gate| gate.would_wait()))
+    }
+
+    /// Returns the door of a server with its limit as it is now.
+    pub(crate) fn server_door(&self, server: ServerAddr) -> Option<&Rc<Door<Fixed>>> {
+        let LeafKind::Queued(doors, stated) = &self.leaf else {
+            return None;
+        };
+        let limit = self.servers.call_limit(server, *stated, self.clock.now());
+        let door = &doors[position_of(server)];
+        door.with_gate(|gate| gate.window_mut().set(limit));
+        Some(door)
     }
 }
 
@@ -129,15 +142,13 @@
     }
 }
 
-fn leaf_doors(trial: &Trial, clock: Clock) -> Vec<Rc<Door<Fixed>>> {
+fn leaf_doors(trial: &Trial, stated: usize, clock: Clock) -> Vec<Rc<Door<Fixed>>> {
     let service = &trial.service;
-    let calls = f64::from(service.slots) * trial.leaf_calls_per_slot / trial.relays as f64;
-    let window = calls.ceil() as usize;
     let config = Config::default()
         .floor_share(trial.floor_share)
         .reserve_share(LEAF_RESERVE_SHARE)
         .max_waiting(MAX_LEAF_WAITING);
     (0..service.server_count())
-        .map(|_| Rc::new(Door::new(config, Fixed::new(window), clock)))
+        .map(|_| Rc::new(Door::new(config, Fixed::new(stated), clock)))
         .collect()
 }
