--- a/crates/process/host/src/relay/gate/mod.rs
+++ b/crates/process/host/src/relay/gate/mod.rs
@@ -17,6 +17,7 @@
     door::{Door, Passer, Place, SystemClock},
     fleet::QueryCall,
     kind::{Error, Ran, Result},
+    link::ServerTable,
     parking_lot::{Mutex, RwLock},
     plan::{LeafFailure, Reason},
     record::{ByRank, InForce, Rank, Revision, ServerAddr, Service},
@@ -112,8 +113,12 @@
     /// # Errors
     ///
     /// Returns a failure once the deadline has passed; the call was not made.
-    pub(crate) async fn turn(&self, server: ServerAddr) -> Result<Turn, LeafFailure> {
-        let door = self.gate.server(server);
+    pub(crate) async fn turn(
+        &self,
+        server: ServerAddr,
+        servers: &ServerTable,
+    ) -> Result<Turn, LeafFailure> {
+        let door = self.gate.server(server, servers, Instant::now());
         let passed = door.pass(&self.passer).await;
         passed.map_err(|_| LeafFailure {
             reason: Reason::Deadline,
@@ -122,9 +127,9 @@
         })
     }
 
-    /// Returns the number of calls that wait for a turn at `server`.
-    fn waiting(&self, server: ServerAddr) -> usize {
-        self.gate.server(server).waiting()
+    /// Returns how many calls would wait for a turn at `server` with one more.
+    fn would_wait(&self, server: ServerAddr, servers: &ServerTable, now: Instant) -> usize {
+        self.gate.server(server, servers, now).would_wait()
     }
 }
 
@@ -172,8 +177,15 @@
         self.servers.lock().clear();
     }
 
-    fn server(&self, addr: ServerAddr) -> Arc<Door<Fixed, SystemClock>> {
+    /// Returns the door of a server, with the limit that the server bears by now.
+    fn server(
+        &self,
+        addr: ServerAddr,
+        table: &ServerTable,
+        now: Instant,
+    ) -> Arc<Door<Fixed, SystemClock>> {
         let built_for = *self.built_for.lock();
+        let limit = table.call_limit(addr, built_for.calls_per_server, now);
         let mut servers = self.servers.lock();
         let door = servers.entry(addr).or_insert_with(|| {
             // The window of the service bounds what waits here.
@@ -181,10 +193,12 @@
                 .floor_share(built_for.floor_share)
                 .reserve_share(CALL_RESERVE_SHARE)
                 .max_waiting(usize::MAX);
-            let window = Fixed::new(built_for.calls_per_server);
-            Arc::new(Door::new(Gate::new(config, window), SystemClock))
+            Arc::new(Door::new(Gate::new(config, Fixed::new(limit)), SystemClock))
         });
-        Arc::clone(door)
+        let door = Arc::clone(door);
+        drop(servers);
+        door.with_gate(|gate| gate.window_mut().set(limit));
+        door
     }
 }
 
--- a/crates/request/door/src/lib.rs
+++ b/crates/request/door/src/lib.rs
@@ -96,9 +96,9 @@
         change(&mut self.state.lock().gate)
     }
 
-    /// Returns the number of those who wait.
-    pub fn waiting(&self) -> usize {
-        self.with_gate(|gate| Rank::ALL.into_iter().map(|rank| gate.waiting(rank)).sum())
+    /// Returns how many would wait with one more.
+    pub fn would_wait(&self) -> usize {
+        self.with_gate(|gate| gate.would_wait())
     }
 
     /// Waits until the gate admits `passer`.
