Start no process while a port is being looked at

Cause of a red whole run: a test's stand-in ended with 'Address already in use'. A process that is being started holds copies of the open sockets of the one that starts it until it runs its own program. If one test looks whether a port is free while another one starts a process, that copy keeps the port taken for a moment longer, and the first test's process cannot bind it.

Ruled out: other tests (each port is claimed by a listener), ports that the system gives out (they begin above ours).

Looking and starting now exclude each other by a lock.

--- a/crates/test/fakes/src/process/child.rs
+++ b/crates/test/fakes/src/process/child.rs
@@ -1,6 +1,7 @@
 //! One process of the build's output.
 
 use {
+    crate::process::port::lock_sockets,
     anyhow::{bail, Context, Result},
     nix::unistd::{sysconf, SysconfVar},
     std::{
@@ -27,6 +28,7 @@
     /// Returns an error if the program has not been built.
     pub fn start(program: &str, arguments: &[String]) -> Result<Self> {
         let path = build_output()?.join(program);
+        let _sockets = lock_sockets();
         let child = Command::new(&path)
             .args(arguments)
             .stdout(Stdio::null())
--- a/crates/test/fakes/src/process/port.rs
+++ b/crates/test/fakes/src/process/port.rs
@@ -4,6 +4,10 @@
 //! another test that runs at the same time. Each port given out is therefore
 //! claimed by a listener on a second loopback address, which lives as long as
 //! the test and which every user of this module looks at.
+//!
+//! A process that is being started holds a copy of every open socket until it
+//! runs its own program, the one that looks whether a port is free included.
+//! Looking and starting therefore exclude each other.
 
 use {
     anyhow::{bail, Result},
@@ -11,7 +15,7 @@
         net::{Ipv4Addr, SocketAddr, TcpListener},
         sync::{
             atomic::{AtomicU32, Ordering},
-            Mutex, PoisonError,
+            Mutex, MutexGuard, PoisonError,
         },
     },
 };
@@ -22,6 +26,8 @@
 /// Address on which a port is claimed.
 const CLAIM_ADDR: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
 
+/// Held while a port is looked at, and while a process is being started.
+static SOCKETS: Mutex<()> = Mutex::new(());
 static NEXT: AtomicU32 = AtomicU32::new(0);
 static CLAIMS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
 
@@ -39,7 +45,7 @@
             continue;
         };
         let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if TcpListener::bind(addr).is_ok() {
+        if is_free(addr) {
             let mut claims = CLAIMS.lock().unwrap_or_else(PoisonError::into_inner);
             claims.push(claim);
             return Ok(addr);
@@ -47,3 +53,13 @@
     }
     bail!("no port is free")
 }
+
+fn is_free(addr: SocketAddr) -> bool {
+    let _sockets = lock_sockets();
+    TcpListener::bind(addr).is_ok()
+}
+
+/// Waits until no port is being looked at, and keeps it so.
+pub(super) fn lock_sockets() -> MutexGuard<'static, ()> {
+    SOCKETS.lock().unwrap_or_else(PoisonError::into_inner)
+}
