--- a/crates/process/host/src/relay/gate/mod.rs
+++ b/crates/process/host/src/relay/gate/mod.rs
@@ -124,10 +124,7 @@
 
     /// Returns the number of calls that wait for a turn at `server`.
     fn waiting(&self, server: ServerAddr) -> usize {
-        self.gate.server(server).with_gate(|gate| {
-            let lines = Rank::ALL.into_iter().map(|rank| gate.waiting(rank));
-            lines.sum()
-        })
+        self.gate.server(server).waiting()
     }
 }
 
--- a/crates/process/store/tests/commit.rs
+++ b/crates/process/store/tests/commit.rs
@@ -1,6 +1,9 @@
 //! Tests of the commit, stepped by hand against a store in memory.
 
+mod faults;
+
 use {
+    crate::faults::Fate,
     fakes::memory::MemoryStore,
     kind::{Kind, Ran, Result},
     record::{
@@ -8,18 +11,9 @@
         MAX_OPERATIONS,
     },
     std::{sync::Arc, time::Duration},
-    store::{Commit, CommitEvent, CommitStep, Committed, Expected, Fault, HEAD_KEY, KEPT_FOR},
+    store::{Commit, CommitEvent, CommitStep, Committed, Expected, HEAD_KEY, KEPT_FOR},
 };
 
-/// What happens to one step.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Fate {
-    Fine,
-    ReplyLost,
-    RequestLost,
-    Down,
-}
-
 fn stamp(operation_id: &str) -> Stamp {
     Stamp {
         operation_id: operation_id.to_owned(),
@@ -72,31 +66,20 @@
 }
 
 fn answer(store: &mut MemoryStore, step: &CommitStep, fate: Fate) -> CommitEvent {
-    let fault = match fate {
-        Fate::Fine => None,
-        Fate::ReplyLost | Fate::RequestLost => Some(Fault::Unknown("lost".to_owned())),
-        Fate::Down => Some(Fault::Unreachable("down".to_owned())),
-    };
     match step {
-        CommitStep::Read { key } => {
-            CommitEvent::Read(fault.map_or_else(|| Ok(store.get(key)), Err))
-        }
+        CommitStep::Read { key } => CommitEvent::Read(fate.call(|| Ok(store.get(key)))),
         CommitStep::Write {
             key,
             expected,
             bytes,
             lease_id,
         } => {
-            let has_effect = matches!(fate, Fate::Fine | Fate::ReplyLost);
-            let written =
-                has_effect.then(|| store.put_leased(key, *expected, bytes.clone(), *lease_id));
-            match fault {
-                Some(fault) => CommitEvent::Written(Err(fault)),
-                None => CommitEvent::Written(written.expect("a valid value")),
-            }
+            let bytes = bytes.clone();
+            let write = || store.put_leased(key, *expected, bytes, *lease_id);
+            CommitEvent::Written(fate.call(write))
         }
         CommitStep::GrantLease { ttl } => {
-            CommitEvent::Granted(fault.map_or_else(|| Ok(store.grant_lease(*ttl)), Err))
+            CommitEvent::Granted(fate.call(|| Ok(store.grant_lease(*ttl))))
         }
         CommitStep::Done(_) => panic!("the commit has ended"),
     }
--- a/crates/request/door/src/lib.rs
+++ b/crates/request/door/src/lib.rs
@@ -96,6 +96,11 @@
         change(&mut self.state.lock().gate)
     }
 
+    /// Returns the number of those who wait.
+    pub fn waiting(&self) -> usize {
+        self.with_gate(|gate| Rank::ALL.into_iter().map(|rank| gate.waiting(rank)).sum())
+    }
+
     /// Waits until the gate admits `passer`.
     ///
     /// # Errors
--- a/crates/test/trial/src/run.rs
+++ b/crates/test/trial/src/run.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         clock::Clock,
+        load::Weakness,
         query::{Outcome, Query},
         relay::Relay,
         report::Tally,
@@ -61,12 +62,18 @@
             .map(|i| {
                 let is_slow = i % SLOW_ONE_IN == SLOW_ONE_IN - 1;
                 let slow_factor = if is_slow { trial.load.slow_factor } else { 1 };
+                let weakness = if i == 0 {
+                    trial.load.weakness
+                } else {
+                    Weakness::None
+                };
                 let seed = trial.seed * 1_000 + i as u64;
-                Rc::new(Server::new(&trial.service, slow_factor, seed, clock))
+                let service = &trial.service;
+                Rc::new(Server::new(service, slow_factor, weakness, seed, clock))
             })
             .collect();
         let relays = (0..trial.relays)
-            .map(|_| Rc::new(Relay::new(trial, &servers, clock)))
+            .map(|i| Rc::new(Relay::new(trial, &servers, trial.seed + i as u64, clock)))
             .collect();
         Self {
             trial: trial.clone(),
@@ -166,6 +173,6 @@
     world.clock.sleep(loss.lost_at).await;
     world.relays.borrow()[0].is_lost.send_replace(true);
     world.clock.sleep(loss.replaced_at - loss.lost_at).await;
-    let fresh = Relay::new(&world.trial, &world.servers, world.clock);
+    let fresh = Relay::new(&world.trial, &world.servers, world.trial.seed, world.clock);
     world.relays.borrow_mut()[0] = Rc::new(fresh);
 }
