Compare the operators' pages with the metrics that hosts print

Cause: nothing kept docs/operators/watch.md and the instruments together.

The names on the page are exactly those of an exposition on which every instrument was used, and no other page names one that is not exposed. A host with a draining server and a poison request prints 'drain', 'quarantine' and 'held-back' of part 'link', and no event that the page on upstreams lacks.

Not compared: the values of other labels, and the events of 'claims' and 'audit'.

--- /dev/null
+++ b/crates/bin/wharf/tests/watch_page.rs
@@ -0,0 +1,149 @@
+//! The page on what to watch names what hosts expose, and nothing else.
+
+use {
+    anyhow::{Context, Result},
+    fakes::{
+        process::{Layout, Path},
+        upstream::Behaviour,
+    },
+    meter::{LeafLabels, Metrics, QueryLabels},
+    record::Rank,
+    std::{collections::BTreeSet, fs, path::Path as FilePath, time::Duration},
+};
+
+const PAGES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../../docs/operators");
+const PREFIX: &str = "wharf_";
+/// Suffix that the exposition gives counters.
+const COUNTER_SUFFIX: &str = "_total";
+
+/// Returns the exposition of a host on which everything has happened once.
+fn exposition() -> Result<String> {
+    let metrics = Metrics::new()?;
+    let time = Duration::from_millis(1);
+    let query = QueryLabels {
+        tenant: "clerks",
+        rank: Rank::Urgent,
+        outcome: "ok",
+    };
+    let leaf = LeafLabels {
+        service: "restock-desk",
+        cause: "first",
+        outcome: "ok",
+    };
+    metrics.on_query(query, time);
+    metrics.on_leaf_call(leaf.service, leaf.cause);
+    metrics.on_leaf_end(leaf, time);
+    metrics.on_revision(1);
+    metrics.on_store_reverted(false);
+    metrics.on_event("link", "drain");
+    metrics.on_gate_admit(leaf.service, query.rank, time);
+    metrics.on_gate_refusal(leaf.service, query.rank, "overloaded");
+    metrics.on_gate_window(leaf.service, 1);
+    metrics.on_exchange_bytes("sent", 1);
+    metrics.on_members(1, 0);
+    metrics.on_forward("ok");
+    metrics.on_in_flight(1);
+    metrics.expose()
+}
+
+/// Returns the names of the metrics in an exposition, without the counters' suffix.
+fn exposed(exposition: &str) -> BTreeSet<String> {
+    let types = exposition
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "));
+    let names = types.filter_map(|line| line.split(' ').next());
+    names
+        .filter(|name| name.starts_with(PREFIX))
+        .map(without_suffix)
+        .collect()
+}
+
+/// Returns the metrics that a page names.
+fn named(page: &str) -> BTreeSet<String> {
+    let is_part = |c: char| c.is_ascii_lowercase() || c == '_';
+    page.split(|c| !is_part(c))
+        .filter(|word| word.starts_with(PREFIX))
+        .map(without_suffix)
+        .collect()
+}
+
+fn without_suffix(name: &str) -> String {
+    name.strip_suffix(COUNTER_SUFFIX).unwrap_or(name).to_owned()
+}
+
+fn page(name: &str) -> Result<String> {
+    fs::read_to_string(FilePath::new(PAGES).join(name)).context(name.to_owned())
+}
+
+#[test]
+fn the_page_names_exactly_the_metrics_and_no_page_another() -> Result<()> {
+    let exposed = exposed(&exposition()?);
+    assert_eq!(named(&page("watch.md")?), exposed);
+    for entry in fs::read_dir(PAGES)? {
+        let text = fs::read_to_string(entry?.path())?;
+        let unknown: Vec<_> = named(&text).difference(&exposed).cloned().collect();
+        assert!(unknown.is_empty(), "{unknown:?} is not exposed");
+    }
+    Ok(())
+}
+
+/// Queries with a poison request, of which the last is held back at the latest.
+const MAX_QUERIES: usize = 20;
+/// Events that the test brings about.
+const CAUSED: [&str; 3] = ["drain", "held-back", "quarantine"];
+
+#[tokio::test]
+async fn hosts_print_the_events_that_the_page_on_upstreams_names() -> Result<()> {
+    let behaviour = Behaviour {
+        poison: Some("weevil".to_owned()),
+        ..Behaviour::default()
+    };
+    let draining = Behaviour {
+        is_draining: true,
+        ..behaviour.clone()
+    };
+    let layout = Layout {
+        behaviour,
+        ..Layout::default()
+    };
+    let path = Path::start(layout).await?;
+    path.configure().await?;
+    path.set_one_behaviour(path.servers[0][0], &draining)
+        .await?;
+    // A host takes a server by turns, so the draining one has its turn.
+    for _ in 0..MAX_QUERIES {
+        path.query(0, "shortfall", &[], "{}").await?;
+    }
+    let mut is_held_back = false;
+    for _ in 0..MAX_QUERIES {
+        let answer = path.query(0, "shortfall", &[], r#"{"item":"weevil"}"#);
+        is_held_back |= answer.await?.json()["kind"] == "quarantined";
+    }
+    assert!(is_held_back);
+    let mut printed = BTreeSet::new();
+    for host in 0..path.hosts.len() {
+        printed.extend(link_events(&path.metrics(host).await?));
+    }
+    let known = first_cells(&page("upstreams.md")?);
+    assert!(printed.is_subset(&known), "{printed:?} and {known:?}");
+    for event in CAUSED {
+        assert!(printed.contains(event), "{event} is not in {printed:?}");
+    }
+    Ok(())
+}
+
+/// Returns the events of the part `link` in an exposition.
+fn link_events(exposition: &str) -> BTreeSet<String> {
+    let lines = exposition
+        .lines()
+        .filter(|line| line.starts_with("wharf_events_total{") && line.contains("part=\"link\""));
+    let events = lines.filter_map(|line| line.split("event=\"").nth(1)?.split('"').next());
+    events.map(str::to_owned).collect()
+}
+
+/// Returns the code words in the first cells of the tables of a page.
+fn first_cells(page: &str) -> BTreeSet<String> {
+    let cells = page.lines().filter_map(|line| line.strip_prefix("| `"));
+    let words = cells.filter_map(|cell| cell.split('`').next());
+    words.map(str::to_owned).collect()
+}
