--- a/crates/test/fakes/src/process/regions.rs
+++ b/crates/test/fakes/src/process/regions.rs
@@ -1,7 +1,8 @@
 //! Hosts of two regions, with the border between them in the test's hand.
 //!
-//! The platform stands in the first region. Each host knows those of the other
-//! region by passages of its own through the border.
+//! The platform stands in the first region. The hosts of a region know each of
+//! the other one by the same passage through the border, for they tell each
+//! other its address.
 
 use {
     crate::{
@@ -34,13 +35,12 @@
         let mut path = Path::start(Layout { hosts: 0, ..layout }).await?;
         let border = Border::default();
         let known = known_addrs(count)?;
-        for near in 0..count {
-            for far in (0..count).filter(|far| far % REGIONS != near % REGIONS) {
-                let pairs = known[near].iter().copied().zip(known[far].iter().copied());
+        for (region, near) in known.iter().enumerate() {
+            for host in (0..count).filter(|host| region_of(*host) != region) {
+                let far = &known[region_of(host)];
+                let pairs = near.iter().copied().zip(far.iter().copied());
                 let cargo = Cargo::Frames(Translation::new(pairs));
-                border
-                    .open(known[near][far], known[far][far], cargo)
-                    .await?;
+                border.open(near[host], far[host], cargo).await?;
             }
         }
         let platform_addr = free_addr()?;
@@ -48,15 +48,17 @@
         border
             .open(platform_addr, far_platform, Cargo::Bytes)
             .await?;
-        for (i, known) in known.iter().enumerate() {
+        for i in 0..count {
+            let region = region_of(i);
+            let known = &known[region];
             let seeds = (0..count).filter(|seed| *seed != i);
             let seeds: Vec<_> = seeds.map(|seed| known[seed].to_string()).collect();
             let place = HostPlace {
                 id: &format!("host-{i}"),
-                region: &format!("region-{}", i % REGIONS),
+                region: &format!("region-{region}"),
                 zone: &format!("zone-{i}"),
                 peer_addr: known[i],
-                platform_addr: [far_platform, platform_addr][i % REGIONS],
+                platform_addr: [far_platform, platform_addr][region],
             };
             path.add_host_at(&place, &[format!("--seed-peers={}", seeds.join(","))])?;
         }
@@ -67,18 +69,22 @@
     }
 }
 
-/// Returns the address of every host as every host knows it.
+fn region_of(host: usize) -> usize {
+    host % REGIONS
+}
+
+/// Returns, for each region, the address of every host as the region knows it.
 ///
 /// The list of the platform stays empty, since it would name the same address
 /// of a host to all.
 fn known_addrs(count: usize) -> Result<Vec<Vec<SocketAddr>>> {
     let own: Vec<_> = (0..count).map(|_| free_addr()).collect::<Result<_>>()?;
-    let known_to = |near: usize| {
-        let addr = |far: usize| match near % REGIONS == far % REGIONS {
-            true => Ok(own[far]),
+    let known_in = |region: usize| {
+        let addr = |host: usize| match region_of(host) == region {
+            true => Ok(own[host]),
             false => free_addr(),
         };
         (0..count).map(addr).collect()
     };
-    (0..count).map(known_to).collect()
+    (0..REGIONS).map(known_in).collect()
 }
