--- a/crates/bin/wharfctl/src/change.rs
+++ b/crates/bin/wharfctl/src/change.rs
@@ -6,7 +6,9 @@
 use {
     crate::{
         api::{Api, Call},
-        check, in_force,
+        check,
+        failure::Failure,
+        in_force,
     },
     anyhow::{bail, Context, Result},
     clap::ArgMatches,
@@ -35,8 +37,6 @@
     method: Method,
     path: String,
     body: String,
-    /// Record that `--wait` waits for.
-    record: Option<(String, u32)>,
 }
 
 /// Commits every file.
@@ -53,13 +53,14 @@
             raws.len()
         );
     }
+    // A route is refused as long as its service is not in force.
+    raws.sort_by_key(|(_, raw)| raw.route.is_some());
     for (file, raw) in raws {
         let change = Change {
             what: file.clone(),
             method: Method::PUT,
             path: format!("/v1/admin/records/{}/{}", raw.name, raw.version),
             body: raw.to_json(),
-            record: Some((raw.name.clone(), raw.version)),
         };
         run(&api, matches, change).await?;
     }
@@ -74,7 +75,6 @@
         method: Method::DELETE,
         path: target.path("", &[]),
         body: String::new(),
-        record: None,
     };
     run(&Api::new(matches)?, matches, change).await
 }
@@ -88,7 +88,6 @@
         method: Method::POST,
         path: target.path("/rollback", &[format!("to_revision={to}")]),
         body: String::new(),
-        record: Some((target.name.clone(), target.version)),
     };
     run(&Api::new(matches)?, matches, change).await
 }
@@ -100,7 +99,6 @@
         method: Method::POST,
         path: "/v1/admin/recover".to_owned(),
         body: String::new(),
-        record: None,
     };
     run(&Api::new(matches)?, matches, change).await
 }
@@ -139,7 +137,6 @@
 
 async fn run(api: &Api, matches: &ArgMatches, change: Change) -> Result<()> {
     let what = change.what.clone();
-    let record = change.record.clone();
     let text = send(api, matches, change)
         .await
         .with_context(|| what.clone())?;
@@ -165,7 +162,7 @@
         .context("--wait-timeout-ms")?;
     let timeout = Duration::from_millis(timeout_ms);
     let is_json = matches.get_flag("json");
-    in_force::wait(api, record, accepted.revision, timeout, is_json).await
+    in_force::wait(api, accepted.revision, timeout, is_json).await
 }
 
 async fn send(api: &Api, matches: &ArgMatches, change: Change) -> Result<String> {
@@ -179,24 +176,31 @@
         body: change.body,
         headers: headers(matches, &operation_id),
     };
-    if matches.contains_id("operation-id") {
-        call.headers.push(repeat_header());
-    }
+    // Whether a call may have reached a host; a repeat says so.
+    let mut may_have_run = matches.contains_id("operation-id");
     for attempt in 1..=MAX_CALLS {
+        if may_have_run {
+            call.headers.retain(|header| *header != repeat_header());
+            call.headers.push(repeat_header());
+        }
         let failure = match api.send(&call).await {
             Ok(reply) if reply.status.is_success() => return Ok(reply.text),
             Ok(reply) if may_repeat(reply.status) => reply.error(),
             Ok(reply) => return Err(reply.error()),
             Err(error) => error,
         };
-        if attempt == MAX_CALLS {
-            return Err(failure.context(format!(
-                "outcome unknown; repeat with --operation-id {operation_id}"
-            )));
+        let is_unsent = matches!(failure.downcast_ref(), Some(Failure::Unreachable(_)));
+        if is_unsent && !may_have_run {
+            return Err(failure);
+        }
+        may_have_run = true;
+        if attempt < MAX_CALLS {
+            eprintln!("{failure:#}; repeating operation {operation_id}");
+            sleep(REPEAT_PAUSE * attempt).await;
+            continue;
         }
-        eprintln!("{failure:#}; repeating operation {operation_id}");
-        sleep(REPEAT_PAUSE * attempt).await;
-        call.headers.push(repeat_header());
+        let last = format!("{failure:#}");
+        return Err(Failure::OutcomeUnknown { operation_id, last }.into());
     }
     bail!("no call was made")
 }
--- a/crates/process/host/src/admin/mod.rs
+++ b/crates/process/host/src/admin/mod.rs
@@ -2,10 +2,13 @@
 
 mod auth;
 mod explain;
+mod extract;
 mod headers;
 mod in_force;
 mod records;
 
+pub use crate::admin::in_force::MAX_QUESTIONS;
+
 use {
     crate::{
         entry::{serve_fallback, serve_method_fallback, Problem},
@@ -83,7 +86,7 @@
 async fn fleet(State(shared): State<Arc<Shared>>) -> Json<FleetStated> {
     let revision = shared.in_force().revision();
     let view = shared.members.view();
-    let progress = shared.members.progress(revision);
+    let progress = in_force::progress(&shared, revision);
     Json(FleetStated {
         host: shared.settings.member.id.clone(),
         revision,
--- a/crates/process/kind/src/table.rs
+++ b/crates/process/kind/src/table.rs
@@ -65,6 +65,8 @@
     BadVersion, "bad-version", 400, No, "Malformed record version";
     /// The idempotency key is missing, malformed or too long.
     BadKey, "bad-idempotency-key", 400, No, "Malformed idempotency key";
+    /// A parameter of the path or of the query string is missing or malformed.
+    BadParameter, "bad-parameter", 400, No, "Malformed parameter";
     /// The body is not valid.
     BadBody, "bad-body", 400, No, "Malformed body";
     /// The body is larger than the limit.
@@ -81,6 +83,10 @@
     RecordTooLarge, "record-too-large", 413, No, "Record too large";
     /// The head would grow larger than the limit.
     HeadTooLarge, "head-too-large", 507, No, "Too many records in force";
+    /// The route names a service that is not in force.
+    UnknownService, "unknown-service", 409, No, "The service is not in force";
+    /// Routes in force use the service.
+    ServiceInUse, "service-in-use", 409, No, "Routes in force use the service";
     /// The precondition is missing or malformed.
     BadPrecondition, "bad-precondition", 400, No, "Malformed precondition";
     /// Another change came first.
--- a/crates/request/plan/src/gather.rs
+++ b/crates/request/plan/src/gather.rs
@@ -199,13 +199,10 @@
     ) -> Option<ServerAddr> {
         let shard = &self.pin.index().shards[position];
         let tried = &self.works[position].tried;
-        let slow = shard
-            .servers
-            .iter()
-            .map(|server| server.addr)
-            .filter(|addr| !tried.contains(addr) && self.group.is_left_out(*addr, step.now));
+        let fresh = shard.servers.iter().map(|server| server.addr);
+        let fresh: Vec<_> = fresh.filter(|addr| !tried.contains(addr)).collect();
         let mut avoided = tried.clone();
-        avoided.extend(slow);
+        avoided.extend(self.group.left_out(&fresh, step.now));
         let picked = step.upstreams.pick(shard, &avoided, step.now)?;
         if avoided.len() > tried.len() && avoided.contains(&picked) {
             return step.upstreams.pick(shard, tried, step.now);
@@ -229,6 +226,10 @@
             time_left: self.limits.time_left(step.now).saturating_sub(HOP),
         };
         self.next_attempt_id += 1;
+        let shard = &self.pin.index().shards[position];
+        if step.upstreams.is_test(shard, server, step.now) {
+            self.group.on_test();
+        }
         let work = &mut self.works[position];
         work.tried.push(server);
         work.open.push(call.attempt_id);
@@ -273,11 +274,11 @@
 
     fn cancel_overtaken<U: Upstreams>(&mut self, attempt_id: AttemptId, step: &mut Step<'_, U, R>) {
         if let Some(loser) = self.attempts.remove(&attempt_id) {
-            if !loser.is_hedge() {
-                let waited = step.upstreams.waited(attempt_id);
-                let age = loser.elapsed(step.now).saturating_sub(waited);
-                self.group.on_overtaken(loser.call.server, age, step.now);
-            }
+            // Hedges too: those that win are the fast ones, and counted alone
+            // they would make a slow server look sound.
+            let waited = step.upstreams.waited(attempt_id);
+            let age = loser.elapsed(step.now).saturating_sub(waited);
+            self.group.on_overtaken(loser.call.server, age, step.now);
             step.actions.push(Action::Cancel(attempt_id));
         }
     }
--- a/crates/request/plan/src/group.rs
+++ b/crates/request/plan/src/group.rs
@@ -103,6 +103,15 @@
         self.retries.lock().earn(calls, RETRY_SHARE);
     }
 
+    /// Takes a call that tests if a server works again.
+    ///
+    /// It is made for the tier's own sake, so it earns the retry that its
+    /// failure costs. Tests are rare by themselves: a server that fails one is
+    /// held out for longer.
+    pub(crate) fn on_test(&self) {
+        self.retries.lock().earn(1, 1.0);
+    }
+
     /// Counts a call as under way.
     pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -146,9 +155,9 @@
         self.window.lock().quantile(quantile)
     }
 
-    /// Returns whether a server is much slower than its group and to be left out.
-    pub(crate) fn is_left_out(&self, server: ServerAddr, now: Instant) -> bool {
-        self.speeds.is_left_out(server, now)
+    /// Returns those of `servers` that are much slower than their group and to be left out.
+    pub(crate) fn left_out(&self, servers: &[ServerAddr], now: Instant) -> Vec<ServerAddr> {
+        self.speeds.left_out(servers, now)
     }
 
     /// Returns whether there is a recent sign of overload, or more calls are under way than `capacity`.
--- a/crates/version/record/src/lib.rs
+++ b/crates/version/record/src/lib.rs
@@ -22,6 +22,7 @@
     bundle::{Bundle, WireBundle},
     head::{
         Generation, Head, HeadEntry, HeadId, RecordId, RecordKind, MAX_HEAD_BYTES, MAX_OPERATIONS,
+        RESERVED_HEAD_BYTES,
     },
     id::{
         HostId, IndexVersion, RecordVersion, RegionId, Revision, ServerAddr, ShardId, TenantId,
@@ -29,13 +30,13 @@
     },
     in_force::InForce,
     limits::{MAX_RECORD_BYTES, MAX_SHARDS},
-    operation::{Action, Change, Operation, OperationId, Precondition, Stamp},
+    operation::{Action, Change, NamedBody, Operation, OperationId, Precondition, Stamp},
     rank::{ByRank, Rank},
     raw::{
         RawCoverage, RawFloors, RawHedge, RawIndex, RawRecord, RawRoute, RawServer, RawService,
         RawShard,
     },
-    route::{Coverage, Hedge, Route, WhenShort},
+    route::{check_name, ClaimPlaces, ClaimWrites, Coverage, Hedge, Route, WhenShort},
     service::{Index, Server, Service, Shard},
 };
 
@@ -79,6 +80,14 @@
         }
     }
 
+    /// Returns the service that the record names, if it is a route.
+    pub fn named_service(&self) -> Option<&String> {
+        match self {
+            Self::Route(route) => Some(&route.service),
+            Self::Service(_) => None,
+        }
+    }
+
     /// Returns the kind of the record.
     pub fn kind(&self) -> RecordKind {
         match self {
