--- a/crates/bin/wharf/tests/drain.rs
+++ b/crates/bin/wharf/tests/drain.rs
@@ -23,12 +23,12 @@
 /// Queries on their way when the host is asked to stop, and again after it; few
 /// enough that the gate has room for all.
 const QUERIES: usize = 20;
-/// Header of the deadline, with room for a slow machine.
-const DEADLINE: (&str, &str) = ("x-wharf-deadline-ms", "10000");
 /// Queries and bookings that are in flight at the end of the longest drain.
 const CUT: usize = 2;
 /// Execution time that outlasts every drain and deadline here, in milliseconds.
 const ENDLESS_MS: f64 = 120_000.0;
+/// Header of the deadline, with room for a slow machine.
+const DEADLINE: (&str, &str) = ("x-wharf-deadline-ms", "10000");
 const MAX_POLLS: usize = 1_500;
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 
--- a/crates/process/fleet/src/wire.rs
+++ b/crates/process/fleet/src/wire.rs
@@ -101,45 +101,6 @@
     }
 }
 
-/// A claim, or the outcome of one, on its way to the host that gathers them.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct ClaimCall {
-    /// Version of the protocol that the sender speaks.
-    pub protocol_version: u32,
-    /// Hash of the scope, in hexadecimal.
-    pub scope: String,
-    /// Identifier of the attempt, in hexadecimal.
-    pub attempt_id: String,
-    /// Fingerprint of the request, in hexadecimal.
-    pub fingerprint: String,
-    /// Time for which the claim must be kept, in seconds.
-    pub retention_s: u64,
-    /// How the request ended, if that is to be recorded.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub outcome: Option<WireOutcome>,
-}
-
-/// How a request that runs at most once ended.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct WireOutcome {
-    /// Whether the request was executed.
-    pub ran: Ran,
-    /// The answer that the caller got, if it was kept.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub answer: Option<String>,
-    /// Name of the kind of failure, if it was one.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub failure: Option<String>,
-}
-
-/// The answer to a claim that was not refused.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct ClaimReply {
-    /// How another attempt ended; without it this one holds the claim.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub finished: Option<WireOutcome>,
-}
-
 /// An error on the wire.
 ///
 /// The kind and the state of execution are names, because a kind that a newer
@@ -195,6 +156,45 @@
         .unwrap_or(Ran::Unknown)
 }
 
+/// A claim, or the outcome of one, on its way to the host that gathers them.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ClaimCall {
+    /// Version of the protocol that the sender speaks.
+    pub protocol_version: u32,
+    /// Hash of the scope, in hexadecimal.
+    pub scope: String,
+    /// Identifier of the attempt, in hexadecimal.
+    pub attempt_id: String,
+    /// Fingerprint of the request, in hexadecimal.
+    pub fingerprint: String,
+    /// Time for which the claim must be kept, in seconds.
+    pub retention_s: u64,
+    /// How the request ended, if that is to be recorded.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<WireOutcome>,
+}
+
+/// How a request that runs at most once ended.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WireOutcome {
+    /// Whether the request was executed.
+    pub ran: Ran,
+    /// The answer that the caller got, if it was kept.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answer: Option<String>,
+    /// Name of the kind of failure, if it was one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub failure: Option<String>,
+}
+
+/// The answer to a claim that was not refused.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ClaimReply {
+    /// How another attempt ended; without it this one holds the claim.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub finished: Option<WireOutcome>,
+}
+
 /// What a host holds in force.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Held {
--- a/crates/process/host/src/peer.rs
+++ b/crates/process/host/src/peer.rs
@@ -165,8 +165,8 @@
         shared: &Arc<Shared>,
         addr: SocketAddr,
         connection: &Connection,
-        answer: impl Future<Output = Result<T, RpcError>>,
-    ) -> Result<T, Lost> {
+        answer: impl Future<Output = Result<Result<T, WireError>, RpcError>>,
+    ) -> Result<Result<T>, Lost> {
         pin!(answer);
         select! {
             biased;
