--- a/crates/process/host/src/peer.rs
+++ b/crates/process/host/src/peer.rs
@@ -139,8 +139,7 @@
     ) -> Result<Result<QueryAnswer>, Lost> {
         let connection = self.connection(shared, addr).await?;
         let answer = connection.client.query(context_until(deadline), call);
-        let answer = self.answer(shared, addr, &connection, answer).await?;
-        Ok(answer.map_err(Error::from))
+        self.answer(shared, addr, &connection, answer).await
     }
 
     /// Sends a claim to the host at `addr`.
@@ -155,8 +154,7 @@
     ) -> Result<Result<ClaimReply>, Lost> {
         let connection = self.connection(shared, addr).await?;
         let answer = connection.client.claim(context_until(deadline), call);
-        let answer = self.answer(shared, addr, &connection, answer).await?;
-        Ok(answer.map_err(Error::from))
+        self.answer(shared, addr, &connection, answer).await
     }
 
     /// Waits for the answer to a call while its connection is not silent.
@@ -173,7 +171,7 @@
             answer = &mut answer => match answer {
                 Ok(answer) => {
                     connection.hear();
-                    Ok(answer)
+                    Ok(answer.map_err(Error::from))
                 }
                 Err(error) => Err(self.on_error(addr, connection, &error)),
             },
