Admit with three deviations of the service time left in place of two

In a flood of urgent a routine query waits until the last moment that its estimate allows, so each one that takes longer than the estimate ends with shards missing.

--- a/crates/request/admit/src/estimate.rs
+++ b/crates/request/admit/src/estimate.rs
@@ -7,7 +7,7 @@
 /// Weight of a new sample in the deviation.
 const DEVIATION_WEIGHT: f64 = 1.0 / 4.0;
 /// Deviations above the mean that a service time rarely exceeds.
-const DEVIATIONS: f64 = 2.0;
+const DEVIATIONS: f64 = 3.0;
 /// Time over which the rate is counted.
 const RATE_PERIOD: Duration = Duration::from_secs(1);
 /// Shortest time that callers are told to stay away.
