--- a/crates/bin/wharf/tests/flood.rs
+++ b/crates/bin/wharf/tests/flood.rs
@@ -86,12 +86,8 @@
 /// The relay exports its waits, refusals and window.
 async fn shows_the_gate(path: &Path) -> Result<()> {
     let mut metrics = String::new();
-    for host in &path.hosts {
-        let answer = path
-            .client
-            .send(http::Method::GET, host.admin_addr, "/metrics", &[], "")
-            .await?;
-        metrics += &answer.text;
+    for host in 0..path.hosts.len() {
+        metrics += &path.metrics(host).await?;
     }
     for name in [
         "wharf_gate_wait_ms_count",
--- a/crates/bin/wharf/tests/query.rs
+++ b/crates/bin/wharf/tests/query.rs
@@ -6,7 +6,7 @@
         process::{Layout, Path},
         upstream::Behaviour,
     },
-    http::{Method, StatusCode},
+    http::StatusCode,
     serde_json::{json, Value},
     std::collections::BTreeSet,
 };
@@ -21,20 +21,11 @@
     }
 }
 
-async fn metrics(path: &Path, host: usize) -> Result<String> {
-    let addr = path.hosts[host].admin_addr;
-    let answer = path
-        .client
-        .send(Method::GET, addr, "/metrics", &[], "")
-        .await?;
-    Ok(answer.text)
-}
-
 /// Returns how many leaf calls of a cause all hosts have made.
 async fn leaf_calls(path: &Path, cause: &str) -> Result<u64> {
     let mut total = 0;
     for host in 0..path.hosts.len() {
-        let text = metrics(path, host).await?;
+        let text = path.metrics(host).await?;
         let label = format!("cause=\"{cause}\"");
         total += text
             .lines()
--- a/crates/bin/wharf/tests/two_at_once.rs
+++ b/crates/bin/wharf/tests/two_at_once.rs
@@ -12,7 +12,7 @@
         upstream::Behaviour,
     },
     futures::future::join_all,
-    http::{Method, StatusCode},
+    http::StatusCode,
     nix::{
         sys::signal::{kill, Signal},
         unistd::Pid,
@@ -63,16 +63,11 @@
     }
     let mut relays = Vec::new();
     let mut entries = Vec::new();
-    for (i, host) in path.hosts.iter().enumerate() {
-        let answer = path
-            .client
-            .send(Method::GET, host.admin_addr, "/metrics", &[], "")
-            .await?;
-        let is_relay = answer.text.contains("wharf_leaf_calls");
-        if is_relay {
-            relays.push(i);
+    for host in 0..HOSTS {
+        if path.metrics(host).await?.contains("wharf_leaf_calls") {
+            relays.push(host);
         } else {
-            entries.push(i);
+            entries.push(host);
         }
     }
     ensure!(!relays.is_empty() && !entries.is_empty(), "{relays:?}");
--- a/crates/process/host/examples/slopes.rs
+++ b/crates/process/host/examples/slopes.rs
@@ -127,7 +127,7 @@
 async fn adopted(path: &Path, revision: u64) -> Result<()> {
     let value = format!(" {revision}");
     for _ in 0..MAX_POLLS {
-        let text = metrics(path, 1).await?;
+        let text = path.metrics(1).await?;
         let is_adopted = text
             .lines()
             .any(|line| line.starts_with("wharf_config_revision") && line.ends_with(&value));
@@ -182,7 +182,7 @@
 }
 
 async fn leaf_calls(path: &Path, host: usize) -> Result<f64> {
-    let text = metrics(path, host).await?;
+    let text = path.metrics(host).await?;
     let counts = text
         .lines()
         .filter(|line| line.starts_with("wharf_leaf_calls"))
@@ -190,15 +190,6 @@
     Ok(counts.sum())
 }
 
-async fn metrics(path: &Path, host: usize) -> Result<String> {
-    let addr = path.hosts[host].admin_addr;
-    let answer = path
-        .client
-        .send(Method::GET, addr, "/metrics", &[], "")
-        .await?;
-    Ok(answer.text)
-}
-
 async fn send(path: &Path, host: usize) -> Result<()> {
     let answer = path
         .query(host, "shortfall", &[], "{\"item\":\"barrel\"}")
