Split the batch of claims by what its parts are for

The view of a range, steps, decisions and the carrying out have a module each; nothing else changes.

--- a/crates/process/store/src/claim_batch.rs
+++ b/crates/process/store/src/claim_batch/mod.rs
@@ -8,23 +8,33 @@
 //! The decisions are [`Batch`], plain state that is fed with the outcome of
 //! each call; [`run_batch`] carries its steps out.
 
+mod decision;
+mod run;
+mod step;
+mod view;
+
 use {
+    self::{
+        decision::{decide, Decision},
+        view::OpenView,
+    },
     crate::{
-        claim::Met,
         claim_log::{open_key, ClaimRange, Generation},
-        Claim, Claimed, Expected, Fault, KeyRevision, LeaseId, Platform, ScopeHash, Value,
+        Claim, Claimed, Expected, Fault, KeyRevision, ScopeHash, Value,
     },
     bytes::Bytes,
     kind::{Error, Kind, Ran, Result},
-    std::{collections::BTreeMap, future::Future, time::Duration},
-    tokio::time::sleep,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+pub use self::{
+    run::{run_batch, BatchEnd, Leases},
+    step::{BatchEvent, BatchStep},
+    view::RangeView,
 };
 
 /// Most writes within one batch.
 const MAX_WRITES: u32 = 8;
-/// Longest pause after a conflict; rivals that start together must not stay together.
-const MAX_CONFLICT_PAUSE_MS: u128 = 16;
-
 /// Random number that tells a batch from all others.
 pub type BatchId = u128;
 
@@ -42,53 +52,6 @@
     pub claim: Claim,
 }
 
-/// What a host knows of a range.
-#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
-pub struct RangeView {
-    open: Option<OpenView>,
-    /// Sorted scopes of each sealed generation, by its key.
-    sealed: BTreeMap<String, Vec<ScopeHash>>,
-}
-
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct OpenView {
-    generation: Generation,
-    bytes: usize,
-    expected: Expected,
-}
-
-/// What a batch wants done next.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum BatchStep {
-    /// Read a key.
-    Read {
-        /// Key.
-        key: String,
-    },
-    /// Write a key.
-    Write {
-        /// Key.
-        key: String,
-        /// What the write expects to find.
-        expected: Expected,
-        /// Bytes of the value.
-        bytes: Bytes,
-        /// Time for which the value must be kept.
-        retention: Duration,
-    },
-    /// Nothing; the batch has ended, with one answer for each of its parts.
-    Done(Vec<BatchAnswer>),
-}
-
-/// What happened to a step.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum BatchEvent {
-    /// The key was read.
-    Read(Result<Option<Value>, Fault>),
-    /// The key was written.
-    Written(Result<KeyRevision, Fault>),
-}
-
 /// The call whose outcome a batch waits for.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Call {
@@ -139,48 +102,6 @@
     is_unsettled: bool,
 }
 
-impl RangeView {
-    fn forget_open(&mut self) {
-        self.open = None;
-    }
-
-    fn take_open(&mut self, value: Option<Value>) -> Result<()> {
-        let open = match value {
-            None => OpenView {
-                generation: Generation::first(),
-                bytes: 0,
-                expected: Expected::Absent,
-            },
-            Some(value) => OpenView {
-                generation: Generation::from_bytes(&value.bytes)?,
-                bytes: value.bytes.len(),
-                expected: Expected::At(value.key_revision),
-            },
-        };
-        let listed = &open.generation.sealed;
-        self.sealed
-            .retain(|key, _| listed.iter().any(|s| s.key == *key));
-        self.open = Some(open);
-        Ok(())
-    }
-
-    fn take_index(&mut self, key: String, value: Option<Value>) -> Result<()> {
-        // What is gone has outlived the retention of its claims.
-        let hashes = match value {
-            None => Vec::new(),
-            Some(value) => Generation::from_bytes(&value.bytes)?.scope_hashes()?,
-        };
-        self.sealed.insert(key, hashes);
-        Ok(())
-    }
-}
-
-impl OpenView {
-    fn is_full(&self) -> bool {
-        self.generation.is_full(self.bytes)
-    }
-}
-
 impl Batch {
     /// Creates a batch for a range from what the host knows of it.
     pub fn new(range: ClaimRange, id: BatchId, view: RangeView, ops: Vec<BatchOp>) -> Self {
@@ -490,120 +411,3 @@
         BatchStep::Done(answers)
     }
 }
-
-/// What one part of a batch comes to.
-enum Decision {
-    /// Its claim is written.
-    Write,
-    /// Its claim is on record already.
-    Keep,
-    /// The request has run.
-    Finished(crate::Outcome),
-}
-
-impl Decision {
-    /// Returns the decision, or the error of a range that has no room for a write.
-    fn unless_refused(self, is_refused: bool) -> Result<Self> {
-        match self {
-            Self::Write if is_refused => {
-                let detail = "the log of claims is full until older claims outlive their retention";
-                Err(Error::new(Kind::StoreDown, detail).with_ran(Ran::No))
-            }
-            decision => Ok(decision),
-        }
-    }
-}
-
-impl From<Decision> for Claimed<()> {
-    fn from(decision: Decision) -> Self {
-        match decision {
-            Decision::Write | Decision::Keep => Self::Won(()),
-            Decision::Finished(outcome) => Self::Finished(outcome),
-        }
-    }
-}
-
-fn decide(claim: &Claim, found: Option<Claim>) -> Result<Decision> {
-    let Some(found) = found else {
-        return Ok(Decision::Write);
-    };
-    if claim.outcome().is_some() {
-        let is_first = claim.is_of_same_attempt(&found) && found.outcome().is_none();
-        return Ok(if is_first {
-            Decision::Write
-        } else {
-            Decision::Keep
-        });
-    }
-    match claim.meet(found)? {
-        Met::Own => Ok(Decision::Keep),
-        Met::Free => Ok(Decision::Write),
-        Met::Finished(outcome) => Ok(Decision::Finished(outcome)),
-    }
-}
-
-/// Leases that remove claims after their retention.
-pub trait Leases {
-    /// Returns a lease that outlives `retention`.
-    fn lease(&self, retention: Duration) -> impl Future<Output = Result<LeaseId, Fault>> + Send;
-}
-
-/// A batch that has ended.
-#[derive(Clone, Debug)]
-pub struct BatchEnd {
-    /// One answer for each part.
-    pub answers: Vec<BatchAnswer>,
-    /// What the host knows of the range now.
-    pub view: RangeView,
-    /// Number of writes that met a conflict.
-    pub conflicts: u32,
-}
-
-/// Carries a batch out.
-pub async fn run_batch<P, L>(platform: &P, leases: &L, mut batch: Batch) -> BatchEnd
-where
-    P: Platform,
-    L: Leases + Sync,
-{
-    let mut conflicts = 0;
-    let mut step = batch.start();
-    loop {
-        let event = match step {
-            BatchStep::Read { key } => BatchEvent::Read(platform.get(&key).await),
-            BatchStep::Write {
-                key,
-                expected,
-                bytes,
-                retention,
-            } => {
-                let written = match leases.lease(retention).await {
-                    Ok(id) => platform.put_leased(&key, expected, bytes, Some(id)).await,
-                    // Nothing was written without the lease.
-                    Err(fault) => Err(unwritten(fault)),
-                };
-                if written == Err(Fault::Conflict) {
-                    conflicts += 1;
-                    sleep(conflict_pause(batch.id, conflicts)).await;
-                }
-                BatchEvent::Written(written)
-            }
-            BatchStep::Done(answers) => {
-                return BatchEnd {
-                    answers,
-                    view: batch.into_view(),
-                    conflicts,
-                }
-            }
-        };
-        step = batch.on_event(event);
-    }
-}
-
-fn unwritten(fault: Fault) -> Fault {
-    Fault::Unreachable(Error::from(fault).detail().to_owned())
-}
-
-fn conflict_pause(id: BatchId, conflicts: u32) -> Duration {
-    let random = id.rotate_right(8 * conflicts) % MAX_CONFLICT_PAUSE_MS;
-    Duration::from_millis(u64::try_from(random).unwrap_or_default())
-}
