Give young hosts bytes of their own for joining

When all hosts of a large fleet start at once they did not know each other after 78 s, from 325 hosts on. Cause, found by printing what each host knew and had sent round by round: bytes. Each host has to tell as much as it is told, and the whole table is 39 KB for 325 hosts and 156 KB for 1,300. The bucket of 48 KB was empty by round 12, with 188 of 325 known in the mean; from then on the reserve of 8 KB stopped whole groups altogether and only rumours went on, at 1.3 KB a round. Besides, a host asked for whole groups in its first 16 rounds only.

Now a host may send 512 KB beside its bucket in its first 60 s, for joining only: its own requests as it joins and answers to hosts that join. It joins for as long as whole groups bring it news, at most 60 s. Settled hosts and ordinary news stay within the bucket.

Ruled out in trials: 512 KB for the groups alone (rumours emptied the bucket and exchanges stopped: two hosts of 1,300 lacked others after 78 s); no rumours at all while joining (none of 1,300 knew all after 48 s).

Failed first: hosts_that_all_start_at_once_know_each_other_within_a_minute with 0 bytes for young hosts: 'some hosts lack others after a minute'.

--- a/crates/process/fleet/src/exchange.rs
+++ b/crates/process/fleet/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        budget::Budget,
+        budget::{Budget, Purpose},
         rumour::Rumours,
         table::{group_of, GROUPS},
         Entry, Fact, FactKey, Facts, GroupId, Member, Merged, Message, Progress, Rumour, Standing,
@@ -192,7 +192,7 @@
     pub fn begin(&mut self, now: Instant) -> Option<Outgoing> {
         self.table.evict(now);
         self.facts.evict(now);
-        if self.budget.left_bytes(now) < ENVELOPE_BYTES {
+        if self.budget.left_bytes(self.purpose(), now) < ENVELOPE_BYTES {
             return None;
         }
         let (addr, id) = self.pick_peer(now)?;
@@ -201,8 +201,9 @@
         let sampled_groups = if is_joining { GROUPS } else { SAMPLED_GROUPS };
         let mut message = self.empty_message(sampled_groups, now);
         message.is_joining = is_joining;
-        let told = self.add_news(&mut message, id.as_deref(), now);
-        self.charge(&message);
+        let purpose = self.purpose();
+        let told = self.add_news(&mut message, id.as_deref(), purpose, now);
+        self.charge(&message, purpose, now);
         Some(Outgoing {
             addr,
             id,
@@ -219,14 +220,20 @@
         answer.is_joining = self.joins_left > 0;
         answer.known = known;
         let differing = self.take_reports(request, now);
-        if self.budget.left_bytes(now) > ENVELOPE_BYTES {
-            self.add_news(&mut answer, Some(&request.sender.member.id), now);
-            self.add_groups(&mut answer, &differing, request.is_joining, now);
+        let purpose = if request.is_joining {
+            Purpose::Joining
+        } else {
+            Purpose::News
+        };
+        if self.budget.left_bytes(purpose, now) > ENVELOPE_BYTES {
+            let peer = Some(request.sender.member.id.as_str());
+            self.add_news(&mut answer, peer, purpose, now);
+            self.add_groups(&mut answer, &differing, purpose, now);
             if request.facts_fingerprint != self.facts.fingerprint() {
                 self.add_any_fact(&mut answer, now);
             }
         }
-        self.charge(&answer);
+        self.charge(&answer, purpose, now);
         (answer, learned)
     }
 
@@ -238,6 +245,10 @@
             }
         }
         let learned = self.take(answer, &mut Vec::new(), now);
+        // A host joins for as long as whole groups bring news.
+        if learned.members_changed && !answer.whole_groups.is_empty() && self.budget.is_young(now) {
+            self.joins_left = self.joins_left.max(JOIN_ROUNDS / 2);
+        }
         self.take_reports(answer, now);
         // What a host that joins still lacks is news to nobody else.
         if !answer.is_joining {
@@ -254,6 +265,15 @@
         id.is_some_and(|id| self.on_silence(id, now))
     }
 
+    /// Returns what the requests of this host are for.
+    fn purpose(&self) -> Purpose {
+        if self.joins_left > 0 {
+            Purpose::Joining
+        } else {
+            Purpose::News
+        }
+    }
+
     fn pick_peer(&mut self, now: Instant) -> Option<(SocketAddr, Option<HostId>)> {
         let is_retry = self.rng.random_bool(RETRY_SHARE);
         let is_near = self.rng.random_bool(OWN_REGION_SHARE);
@@ -309,8 +329,14 @@
     }
 
     /// Adds rumours to a message, as many as its size and the budget allow.
-    fn add_news(&mut self, message: &mut Message, peer: Option<&str>, now: Instant) -> Vec<Rumour> {
-        let mut room = MAX_NEWS_BYTES.min(self.budget.left_bytes(now));
+    fn add_news(
+        &mut self,
+        message: &mut Message,
+        peer: Option<&str>,
+        purpose: Purpose,
+        now: Instant,
+    ) -> Vec<Rumour> {
+        let mut room = MAX_NEWS_BYTES.min(self.budget.left_bytes(purpose, now));
         let members = self.table.entries().count();
         let mut told = Vec::new();
         // A suspected peer has to hear of it to refute it.
@@ -421,14 +447,13 @@
         &mut self,
         answer: &mut Message,
         differing: &[GroupId],
-        is_joining: bool,
+        purpose: Purpose,
         now: Instant,
     ) {
-        let left = self.budget.left_bytes(now);
-        let most = if is_joining {
-            MAX_JOIN_BYTES
-        } else {
-            MAX_NEWS_BYTES
+        let left = self.budget.left_bytes(purpose, now);
+        let most = match purpose {
+            Purpose::Joining => MAX_JOIN_BYTES,
+            Purpose::News => MAX_NEWS_BYTES,
         };
         let mut room = left.saturating_sub(REPAIR_RESERVE_BYTES).min(most);
         let mut differing = differing.to_vec();
@@ -470,8 +495,8 @@
         }
     }
 
-    fn charge(&mut self, message: &Message) {
-        self.budget.on_sent(message_bytes(message));
+    fn charge(&mut self, message: &Message, purpose: Purpose, now: Instant) {
+        self.budget.on_sent(message_bytes(message), purpose, now);
     }
 }
 
--- a/crates/process/fleet/src/lib.rs
+++ b/crates/process/fleet/src/lib.rs
@@ -20,7 +20,7 @@
 mod wire;
 
 pub use crate::{
-    budget::{Budget, SEND_BURST_BYTES, SEND_BYTES_PER_S},
+    budget::{Budget, Purpose, SEND_BURST_BYTES, SEND_BYTES_PER_S, YOUNG_BYTES, YOUNG_TIME},
     choice::{Choice, Outcome, Track, FAILURE_MEMORY},
     exchange::{message_bytes, Exchange, Learned, Outgoing, ROUND_PAUSE},
     fact::{Fact, FactKey, Facts, MAX_FACTS, MAX_FACT_AGE, MAX_FACT_BYTES},
--- a/crates/process/fleet/tests/exchange.rs
+++ b/crates/process/fleet/tests/exchange.rs
@@ -3,9 +3,12 @@
 mod net;
 
 use {
-    fleet::{Fact, FactKey, LEFT_RETENTION, ROUND_PAUSE, SEND_BURST_BYTES, SEND_BYTES_PER_S},
+    fleet::{
+        Budget, Fact, FactKey, Purpose, LEFT_RETENTION, ROUND_PAUSE, SEND_BURST_BYTES,
+        SEND_BYTES_PER_S, YOUNG_BYTES, YOUNG_TIME,
+    },
     net::Net,
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 const SEED: u64 = 6;
@@ -13,7 +16,10 @@
 const REGIONS: usize = 3;
 /// Rounds within 8 s, the time in which a change has to be in force everywhere.
 const ROUNDS_IN_8_S: usize = 16;
+const ROUNDS_IN_A_MINUTE: usize = 120;
 const MOST_ROUNDS: usize = 400;
+/// Hosts whose entries together are as large as the bucket of one of them.
+const LARGE: usize = 325;
 
 fn settled() -> Net {
     let mut net = Net::new(HOSTS, REGIONS, SEED);
@@ -99,6 +105,32 @@
     }
 }
 
+#[test]
+fn hosts_that_all_start_at_once_know_each_other_within_a_minute() {
+    let mut net = Net::new(LARGE, REGIONS, SEED);
+    let rounds = net.rounds_until(ROUNDS_IN_A_MINUTE, |net| net.everyone_knows(LARGE));
+    assert!(rounds.is_some(), "some hosts lack others after a minute");
+    let most = u64::from(SEND_BYTES_PER_S) * 60 + u64::from(SEND_BURST_BYTES + YOUNG_BYTES);
+    assert!(net.up().all(|host| host.sent_bytes <= most));
+}
+
+#[test]
+fn only_a_young_host_may_send_beside_its_bucket_and_only_for_joining() {
+    let now = Instant::now();
+    let mut budget = Budget::new(now);
+    let burst = SEND_BURST_BYTES as usize;
+    let with_young = burst + YOUNG_BYTES as usize;
+    assert_eq!(budget.left_bytes(Purpose::News, now), burst);
+    assert_eq!(budget.left_bytes(Purpose::Joining, now), with_young);
+    budget.on_sent(1_000, Purpose::Joining, now);
+    assert_eq!(budget.left_bytes(Purpose::News, now), burst);
+    assert_eq!(budget.left_bytes(Purpose::Joining, now), with_young - 1_000);
+    budget.on_sent(burst, Purpose::News, now);
+    assert_eq!(budget.left_bytes(Purpose::News, now), 0);
+    let later = now + YOUNG_TIME;
+    assert_eq!(budget.left_bytes(Purpose::Joining, later), burst);
+}
+
 #[test]
 fn a_host_that_the_list_misses_is_a_member() {
     let mut net = settled();
