Make each server of a shard the slow one in turn

A whole run failed at `leaf_calls(hedge) > 0`: four queries completed without a hedge. The test slows the first server of each shard, but the relay picks the one with the lower cost; where that is the second server in all four shards, no call meets a slow one.

Each of the two is slow in turn now, so the preferred one is slow once.

--- a/crates/bin/wharf/tests/query.rs
+++ b/crates/bin/wharf/tests/query.rs
@@ -172,13 +172,17 @@
         mean_ms: 3_000.0,
         ..Behaviour::default()
     };
-    for shard in &path.servers {
-        path.set_one_behaviour(shard[0], &slow).await?;
-    }
-    for _ in 0..4 {
-        let headers = [("x-wharf-deadline-ms", "20000")];
-        let answer = path.query(0, "shortfall", &headers, "{}").await?;
-        assert_eq!(answer.json()["coverage"]["is_complete"], true);
+    // The relay may prefer the other server of every shard, so each is slow in turn.
+    for position in 0..2 {
+        path.set_behaviour(&Behaviour::default()).await?;
+        for shard in &path.servers {
+            path.set_one_behaviour(shard[position], &slow).await?;
+        }
+        for _ in 0..4 {
+            let headers = [("x-wharf-deadline-ms", "20000")];
+            let answer = path.query(0, "shortfall", &headers, "{}").await?;
+            assert_eq!(answer.json()["coverage"]["is_complete"], true);
+        }
     }
     assert!(leaf_calls(&path, "hedge").await? > 0);
     assert!(path.seen().await?.cancelled > 0, "the loser is cancelled");
