--- a/crates/bin/wharf/tests/watch_page.rs
+++ b/crates/bin/wharf/tests/watch_page.rs
@@ -43,6 +43,7 @@
     metrics.on_members(1, 0);
     metrics.on_forward("ok");
     metrics.on_in_flight(1);
+    metrics.on_limited_servers(1);
     metrics.expose()
 }
 
