Read a host's metrics in two more tests by the fixture

upstreams.rs and bookings.rs sent the request for the metrics themselves, three times in all, which the fixture does since. No check changes.

--- a/crates/bin/wharf/tests/bookings.rs
+++ b/crates/bin/wharf/tests/bookings.rs
@@ -217,7 +217,7 @@
     let route = ROUTES[1];
     // The host that calls the upstreams must not be the frozen one.
     path.query(0, "shortfall", &[], "{}").await?;
-    let (frozen, other) = match metrics(&path, 0).await?.contains("wharf_leaf_calls") {
+    let (frozen, other) = match path.metrics(0).await?.contains("wharf_leaf_calls") {
         true => (1, 0),
         false => (0, 1),
     };
@@ -243,17 +243,11 @@
     }
     let runs = most_runs(&path).await? - runs_before;
     assert_eq!(runs, WHILE_FROZEN as u64);
-    let lost = metrics(&path, other).await?.contains("owner-lost");
+    let lost = path.metrics(other).await?.contains("owner-lost");
     assert!(lost, "the frozen host owned no claim");
     Ok(())
 }
 
-async fn metrics(path: &Path, host: usize) -> Result<String> {
-    let addr = path.hosts[host].admin_addr;
-    let answer = path.client.send(Method::GET, addr, "/metrics", &[], "");
-    Ok(answer.await?.text)
-}
-
 #[tokio::test]
 async fn a_route_that_moves_to_the_log_keeps_its_claims() -> Result<()> {
     let path = start().await?;
--- a/crates/bin/wharf/tests/upstreams.rs
+++ b/crates/bin/wharf/tests/upstreams.rs
@@ -7,7 +7,7 @@
         process::{Layout, Path},
         upstream::Behaviour,
     },
-    http::{Method, StatusCode},
+    http::StatusCode,
     serde_json::{json, Value},
     std::{net::SocketAddr, time::Duration},
     tokio::time::sleep,
@@ -251,8 +251,8 @@
     for wave in 0..200 {
         complete_of(path, 10, 4, wave * 40).await?;
         let mut most = 0;
-        for host in &path.hosts {
-            most = most.max(limited_servers(path, host.admin_addr).await?);
+        for host in 0..path.hosts.len() {
+            most = most.max(limited_servers(path, host).await?);
         }
         if most == limited {
             return Ok(());
@@ -261,12 +261,9 @@
     anyhow::bail!("never {limited} servers are limited")
 }
 
-async fn limited_servers(path: &Path, admin_addr: SocketAddr) -> Result<u64> {
-    let answer = path
-        .client
-        .send(Method::GET, admin_addr, "/metrics", &[], "")
-        .await?;
-    let mut lines = answer.text.lines();
+async fn limited_servers(path: &Path, host: usize) -> Result<u64> {
+    let metrics = path.metrics(host).await?;
+    let mut lines = metrics.lines();
     let line = lines.find(|line| line.starts_with("wharf_limited_servers"));
     let value = line.and_then(|line| line.rsplit(' ').next());
     Ok(value.unwrap_or("0").parse()?)
@@ -338,13 +335,9 @@
 
 /// Returns how often a host has counted an event of the links.
 async fn events(path: &Path, host: usize, event: &str) -> Result<u64> {
-    let addr = path.hosts[host].admin_addr;
-    let answer = path
-        .client
-        .send(Method::GET, addr, "/metrics", &[], "")
-        .await?;
+    let metrics = path.metrics(host).await?;
     let label = format!("event=\"{event}\"");
-    let mut lines = answer.text.lines();
+    let mut lines = metrics.lines();
     let line = lines.find(|line| line.contains(&label) && line.contains("part=\"link\""));
     let count = line.and_then(|line| line.rsplit(' ').next());
     Ok(count.map_or(Ok(0), str::parse)?)
