Share a write on its way to the store between the models

The models of commit and of claims had the same type and the same way to carry it out, with or without its condition.

--- a/crates/test/model/src/claims.rs
+++ b/crates/test/model/src/claims.rs
@@ -6,8 +6,7 @@
 //! arrive twice, and the owner of the log may write an attempt's claim beside it.
 
 use {
-    crate::{Model, Step},
-    bytes::Bytes,
+    crate::{write::Write, Model, Step},
     fakes::memory::MemoryStore,
     kind::{Ran, Result},
     record::ClaimPlaces,
@@ -107,13 +106,6 @@
     Write(Write),
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct Write {
-    key: String,
-    expected: Expected,
-    bytes: Bytes,
-}
-
 /// What happened to a call.
 enum Reply {
     Read(Result<Option<Value>, Fault>),
@@ -540,10 +532,8 @@
     }
 
     fn put(&self, store: &mut MemoryStore, write: &Write) -> Result<u64, Fault> {
-        if self.mutant == Some(Mutant::BlindWrite) {
-            return Ok(store.overwrite(&write.key, write.bytes.clone()));
-        }
-        store.put(&write.key, write.expected, write.bytes.clone())
+        let is_blind = self.mutant == Some(Mutant::BlindWrite);
+        write.put(store, is_blind)
     }
 
     fn lost(&self, written: Result<u64, Fault>) -> Reply {
--- a/crates/test/model/src/commit.rs
+++ b/crates/test/model/src/commit.rs
@@ -6,7 +6,7 @@
 //! store is restored to an older state and recovered.
 
 use {
-    crate::{Model, Step},
+    crate::{write::Write, Model, Step},
     bytes::Bytes,
     fakes::memory::MemoryStore,
     kind::{Ran, Result},
@@ -15,7 +15,7 @@
         Source, Stamp, Verdict,
     },
     std::sync::Arc,
-    store::{Body, Commit, CommitEvent, CommitStep, Committed, Expected, Fault, HEAD_KEY},
+    store::{Body, Commit, CommitEvent, CommitStep, Committed, Fault, HEAD_KEY},
 };
 
 /// A rule that is replaced by a wrong one.
@@ -63,13 +63,6 @@
     Write(Write),
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct Write {
-    key: String,
-    expected: Expected,
-    bytes: Bytes,
-}
-
 /// What an operator was told.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 enum Told {
@@ -379,10 +372,8 @@
     }
 
     fn put(&self, store: &mut MemoryStore, write: &Write) -> Result<u64, Fault> {
-        if self.mutant == Some(Mutant::BlindWrite) && write.key == HEAD_KEY {
-            return Ok(store.overwrite(HEAD_KEY, write.bytes.clone()));
-        }
-        store.put(&write.key, write.expected, write.bytes.clone())
+        let is_blind = self.mutant == Some(Mutant::BlindWrite) && write.key == HEAD_KEY;
+        write.put(store, is_blind)
     }
 
     fn lost(&self) -> CommitEvent {
--- a/crates/test/model/src/lib.rs
+++ b/crates/test/model/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod commit;
 mod explore;
 pub mod merge;
+mod write;
 
 pub use crate::explore::{explore, Model, Report, Step, Violation};
