Run the tier on the users' platform: first whole path

Adds the adapter in platform/, the crates routing, replica and scatter for the decisions, and gateway, the shell around them. LifeWatch moves out of host into a crate of its own, since both shells need it.

--- a/crates/connection/link/src/pool.rs
+++ b/crates/connection/link/src/pool.rs
@@ -85,6 +85,11 @@
         self.config.share = share;
     }
 
+    /// Changes the time without use after which a spare connection is closed.
+    pub fn set_idle_timeout(&mut self, idle_timeout: Duration) {
+        self.config.idle_timeout = idle_timeout;
+    }
+
     /// Returns the number of connections held, those being opened included.
     pub fn held(&self) -> u32 {
         self.out + u32::try_from(self.idle.len()).unwrap_or(u32::MAX)
--- /dev/null
+++ b/crates/process/gateway/src/call.rs
@@ -0,0 +1,110 @@
+//! One call of a request, as a task of its own.
+//!
+//! A call outlives its request for a while: the answer of one that lost to
+//! another still tells how fast its server is, and its connection can be used
+//! again, while a cut one costs the server a new connection.
+
+use {
+    crate::{
+        adapter::Reply,
+        exchange::{self, Ended, Failed, Outgoing},
+        shared::Shared,
+        Adapter,
+    },
+    link::Evidence,
+    plan::AttemptId,
+    replica::ReplicaKey,
+    scatter::Call,
+    std::{
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{select, sync::mpsc::UnboundedSender, time::sleep},
+};
+
+/// Time for which a call goes on after its request has ended. Servers must
+/// not be at work half a second after the caller has left.
+const LINGER: Duration = Duration::from_millis(400);
+/// Time beyond the caller's for which an answer is waited for.
+const LATE_SLACK: Duration = Duration::from_millis(20);
+
+/// What a call brought to its request.
+pub(crate) type CallEnd = (AttemptId, Result<Reply, Failed>);
+
+/// Makes a call and sends its end to the request, if that still waits.
+pub(crate) async fn run<A: Adapter>(
+    shared: Rc<Shared<A>>,
+    route: Arc<str>,
+    limit: u32,
+    call: Call<ReplicaKey>,
+    outgoing: Rc<Outgoing>,
+    ends: UnboundedSender<CallEnd>,
+) {
+    let number = shared.next_call();
+    let began = Instant::now();
+    {
+        let mut replicas = shared.replicas.borrow_mut();
+        replicas.on_begin(call.server, number, call.expected, began);
+    }
+    let open = Open {
+        shared: &shared,
+        route: &route,
+        server: call.server,
+        number,
+    };
+    let left = outgoing.deadline.saturating_duration_since(began) + LATE_SLACK;
+    let ended = select! {
+        ended = exchange::run(&shared, call.server, limit, &outgoing) => Some(ended),
+        () = async { ends.closed().await; sleep(LINGER).await } => None,
+        () = sleep(left) => None,
+    };
+    match ended {
+        Some(Ended { result, evidence }) => {
+            open.end(evidence);
+            if let Err(failed) = &result {
+                on_failed(&shared, &call, failed);
+            }
+            // The request may have ended without this call.
+            let _ = ends.send((call.attempt, result));
+        }
+        None => {
+            // Nothing came for long: other connections of the same age may be silent too.
+            shared
+                .connections
+                .borrow_mut()
+                .on_silence(call.server, began);
+            open.end(Evidence::Cancelled(began.elapsed()));
+        }
+    }
+}
+
+fn on_failed<A: Adapter>(shared: &Shared<A>, call: &Call<ReplicaKey>, failed: &Failed) {
+    if failed.has_moved {
+        log::info!(target: "upstream", "Another server has the address of {}.", call.service);
+        shared.replicas.borrow_mut().on_moved(call.server);
+        shared.connections.borrow_mut().forget(call.server);
+    }
+}
+
+/// A call that a server owes an answer to.
+struct Open<'a, A: Adapter> {
+    shared: &'a Shared<A>,
+    route: &'a Arc<str>,
+    server: ReplicaKey,
+    number: u64,
+}
+
+impl<A: Adapter> Open<'_, A> {
+    fn end(&self, evidence: Evidence) {
+        let now = Instant::now();
+        let typical_ms = self.shared.works.borrow().typical_ms(self.route);
+        let took = {
+            let mut replicas = self.shared.replicas.borrow_mut();
+            replicas.on_end(self.server, self.number, evidence, typical_ms, now)
+        };
+        if let Some(took) = took {
+            self.shared.works.borrow_mut().on_sample(self.route, took);
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/gateway/src/listen.rs
@@ -0,0 +1,114 @@
+//! Sockets for callers and for the balancer.
+
+use {
+    crate::{
+        answer::Answer, connections::watch_for_silence, serve, shared::Shared, Adapter, Layout,
+    },
+    bytes::Bytes,
+    fleet::Phase,
+    http::{Request, Response, StatusCode},
+    http_body_util::Full,
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    routing::{CallerLimits, RawCallerLimits},
+    std::{convert::Infallible, future::Future, pin::pin, rc::Rc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        select,
+        task::spawn_local,
+        time::sleep,
+    },
+};
+
+/// Pause after a failure to accept, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Least buffer for the head of a request, as the HTTP library demands it.
+const MIN_HEADER_BYTES: usize = 8_192;
+
+/// Serves callers until the host takes no new work.
+pub(crate) async fn serve_callers<A: Adapter>(shared: Rc<Shared<A>>, listener: TcpListener) {
+    let accepting = accept(&listener, |stream| {
+        spawn_local(serve_caller(Rc::clone(&shared), stream));
+    });
+    select! {
+        () = accepting => {}
+        () = shared.life.reached(Phase::Finishing) => {}
+    }
+}
+
+async fn serve_caller<A: Adapter>(shared: Rc<Shared<A>>, stream: TcpStream) {
+    let limits = shared.table().map_or_else(
+        || CallerLimits::from(RawCallerLimits::default()),
+        |table| table.caller_limits(),
+    );
+    if let Err(error) = stream
+        .set_nodelay(true)
+        .and_then(|()| watch_for_silence(&stream))
+    {
+        log::debug!(target: "entry", "Connection not set up: {error}.");
+        return;
+    }
+    let service = service_fn(|request| {
+        let shared = Rc::clone(&shared);
+        async move { Ok::<Answer, Infallible>(serve::handle(shared, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.max_header_bytes.max(MIN_HEADER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = select! {
+        ended = connection.as_mut() => ended,
+        () = shared.life.reached(Phase::Finishing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(target: "entry", "Connection of a caller ended: {error}.");
+    }
+}
+
+/// Tells the balancer whether the host takes work, for as long as the process lives.
+pub(crate) async fn serve_balancer<A: Adapter>(shared: Rc<Shared<A>>, listener: TcpListener) {
+    accept(&listener, |stream| {
+        let shared = Rc::clone(&shared);
+        spawn_local(async move {
+            let service = service_fn(|request| answer_balancer(&shared, &request));
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!(target: "life", "Connection of the balancer ended: {error}.");
+            }
+        });
+    })
+    .await;
+}
+
+fn answer_balancer<A: Adapter>(
+    shared: &Shared<A>,
+    request: &Request<Incoming>,
+) -> impl Future<Output = Result<Response<Full<Bytes>>, Infallible>> {
+    let status = if request.uri().path() != A::Layout::READY_PATH {
+        StatusCode::NOT_FOUND
+    } else if shared.life.phase() == Phase::Ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    std::future::ready(Ok(answer))
+}
+
+async fn accept(listener: &TcpListener, mut on_stream: impl FnMut(TcpStream)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => on_stream(stream),
+            Err(error) => {
+                log::warn!(target: "entry", "No connection accepted: {error}.");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/gateway/src/run.rs
@@ -0,0 +1,117 @@
+//! Start and end of a host.
+
+use {
+    crate::{follow, listen, membership, shared::Shared, Adapter, Settings},
+    anyhow::{Context, Result},
+    fleet::{LifeEvent, Phase},
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::TcpListener,
+        task::{spawn_local, JoinHandle},
+        time::{sleep, timeout},
+    },
+};
+
+/// Pause between rounds of housekeeping.
+const UPKEEP_PAUSE: Duration = Duration::from_secs(1);
+/// Time without a call after which the budget of a service is forgotten;
+/// several windows of the platform's bound.
+const BUDGET_MEMORY: Duration = Duration::from_secs(60);
+/// Time for the last answers to leave through the sockets.
+const CLOSE_TIME: Duration = Duration::from_millis(200);
+
+/// A host that runs in this process.
+pub struct RunningGateway<A: Adapter> {
+    /// Address for callers.
+    pub caller_addr: SocketAddr,
+    /// Address at which the balancer asks whether the host takes work.
+    pub ready_addr: SocketAddr,
+    shared: Rc<Shared<A>>,
+    tasks: Vec<JoinHandle<()>>,
+    listed: JoinHandle<()>,
+}
+
+/// Starts a host inside a [`LocalSet`](tokio::task::LocalSet).
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be bound.
+pub async fn run<A: Adapter>(settings: Settings, keys: A::Keys) -> Result<RunningGateway<A>> {
+    let callers = bind("callers", settings.caller_addr).await?;
+    let balancer = bind("the balancer", settings.ready_addr).await?;
+    let (caller_addr, ready_addr) = (callers.local_addr()?, balancer.local_addr()?);
+    let shared = Rc::new(Shared::<A>::new(settings, keys));
+    log::info!(
+        target: "host",
+        "Host {} in {} listens on {caller_addr} (callers) and {ready_addr} (balancer).",
+        shared.settings.host_id, shared.settings.place.zone
+    );
+    let tasks = vec![
+        spawn_local(listen::serve_callers(Rc::clone(&shared), callers)),
+        spawn_local(listen::serve_balancer(Rc::clone(&shared), balancer)),
+        spawn_local(follow::follow_config(Rc::clone(&shared))),
+        spawn_local(follow::follow_servers(Rc::clone(&shared))),
+        spawn_local(membership::follow_hosts(Rc::clone(&shared))),
+        spawn_local(keep_up(Rc::clone(&shared))),
+    ];
+    Ok(RunningGateway {
+        caller_addr,
+        ready_addr,
+        listed: spawn_local(membership::stay_listed(Rc::clone(&shared))),
+        shared,
+        tasks,
+    })
+}
+
+async fn bind(whom: &str, addr: SocketAddr) -> Result<TcpListener> {
+    let bound = TcpListener::bind(addr).await;
+    bound.with_context(|| format!("the address {addr} for {whom} cannot be bound"))
+}
+
+async fn keep_up<A: Adapter>(shared: Rc<Shared<A>>) {
+    loop {
+        sleep(UPKEEP_PAUSE).await;
+        let now = Instant::now();
+        shared.connections.borrow_mut().close_expired(now);
+        if let Some(before) = now.checked_sub(BUDGET_MEMORY) {
+            shared.extras.borrow_mut().forget_unused(before);
+        }
+    }
+}
+
+impl<A: Adapter> RunningGateway<A> {
+    /// Shuts the host down without cutting work in flight.
+    pub async fn shut_down(self) {
+        let life = &self.shared.life;
+        let began = Instant::now();
+        log::info!(target: "host", "Asked to stop with {} requests in flight.", life.in_flight());
+        life.on_event(LifeEvent::Stop);
+        if life.phase() == Phase::Leaving {
+            sleep(self.shared.settings.balancer_lag).await;
+            life.on_event(LifeEvent::BalancerLagOver);
+        }
+        let left = self
+            .shared
+            .settings
+            .max_drain
+            .saturating_sub(began.elapsed());
+        if timeout(left, life.is_idle()).await.is_err() {
+            log::warn!(target: "host", "{} requests in flight after the longest drain.", life.in_flight());
+            life.on_event(LifeEvent::DrainOver);
+        }
+        life.on_event(LifeEvent::Idle);
+        sleep(CLOSE_TIME).await;
+        if timeout(CLOSE_TIME, self.listed).await.is_err() {
+            log::warn!(target: "host", "The store did not take the end of the lease in time.");
+        }
+        life.on_event(LifeEvent::PeersTold);
+        self.tasks.iter().for_each(JoinHandle::abort);
+        let took_ms = began.elapsed().as_millis();
+        log::info!(target: "host", "Stopped after {took_ms} ms, {} connections to servers closed.",
+            self.shared.connections.borrow().held());
+    }
+}
--- /dev/null
+++ b/crates/process/gateway/src/settings.rs
@@ -0,0 +1,105 @@
+//! Settings of a host, checked once at the start.
+
+use {
+    anyhow::{ensure, Context, Error, Result},
+    record::{HostId, RegionId, ZoneId},
+    replica::Place,
+    scatter::Allowance,
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
+};
+
+/// Time that the balancer needs to notice that a host leaves: it asks every
+/// second and takes out a host that misses twice.
+const BALANCER_LAG: Duration = Duration::from_millis(2_500);
+/// Part of the time for a shutdown that work in flight may use.
+const DRAIN_SHARE: f64 = 0.85;
+
+/// Settings as an adapter reads them, before their checks.
+#[derive(Clone, Debug, Default)]
+pub struct RawSettings {
+    /// Name of the host.
+    pub host_id: String,
+    /// Availability zone of the host.
+    pub zone: String,
+    /// Region of every zone.
+    pub regions: HashMap<String, String>,
+    /// Address for callers.
+    pub caller_addr: String,
+    /// Address at which the balancer asks whether the host takes work.
+    pub ready_addr: String,
+    /// Address of the store.
+    pub store_addr: String,
+    /// Extra calls that a service bears for each request, from 0 to 1.
+    pub retry_ratio: f64,
+    /// Further extra calls that a service bears in any window.
+    pub retry_slack: f64,
+    /// Time from the request to stop to the end of the process, in milliseconds.
+    pub shutdown_ms: u64,
+}
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the host.
+    pub host_id: HostId,
+    /// Where the host stands.
+    pub place: Place,
+    /// Address for callers.
+    pub caller_addr: SocketAddr,
+    /// Address at which the balancer asks whether the host takes work.
+    pub ready_addr: SocketAddr,
+    /// Address of the store.
+    pub store_addr: SocketAddr,
+    /// Extra calls that all hosts together may make.
+    pub allowance: Allowance,
+    /// Time for which a leaving host still takes work.
+    pub balancer_lag: Duration,
+    /// Time from the request to stop until work in flight is given up.
+    pub max_drain: Duration,
+}
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = Error;
+
+    fn try_from(raw: RawSettings) -> Result<Self> {
+        ensure!(!raw.host_id.is_empty(), "the name of the host is empty");
+        ensure!(!raw.zone.is_empty(), "the availability zone is empty");
+        ensure!(
+            (0.0..=1.0).contains(&raw.retry_ratio),
+            "the retry ratio {} is not from 0 to 1",
+            raw.retry_ratio
+        );
+        ensure!(
+            raw.retry_slack >= 0.0 && raw.retry_slack.is_finite(),
+            "the retry slack {} is not a number from 0 up",
+            raw.retry_slack
+        );
+        ensure!(raw.shutdown_ms > 0, "the time for a shutdown is 0 ms");
+        let shutdown = Duration::from_millis(raw.shutdown_ms);
+        let max_drain = shutdown.mul_f64(DRAIN_SHARE);
+        Ok(Self {
+            host_id: raw.host_id,
+            place: Place {
+                zone: raw.zone,
+                regions: raw
+                    .regions
+                    .into_iter()
+                    .collect::<HashMap<ZoneId, RegionId>>(),
+            },
+            caller_addr: addr("address for callers", &raw.caller_addr)?,
+            ready_addr: addr("address for the balancer", &raw.ready_addr)?,
+            store_addr: addr("address of the store", &raw.store_addr)?,
+            allowance: Allowance {
+                ratio: raw.retry_ratio,
+                slack: raw.retry_slack,
+            },
+            balancer_lag: BALANCER_LAG.min(max_drain / 2),
+            max_drain,
+        })
+    }
+}
+
+fn addr(name: &str, text: &str) -> Result<SocketAddr> {
+    text.parse()
+        .with_context(|| format!("the {name}, '{text}', is not an IP address with a port"))
+}
--- /dev/null
+++ b/crates/process/gateway/src/shared.rs
@@ -0,0 +1,70 @@
+//! What the parts of a host share for the life of the process.
+
+use {
+    crate::{connections::Connections, Adapter, Settings},
+    fleet::LifeEvent,
+    life::LifeWatch,
+    replica::{Replicas, Works},
+    routing::Table,
+    scatter::{Extras, Splits},
+    std::{
+        cell::{Cell, RefCell},
+        sync::Arc,
+    },
+};
+
+/// State of a host that lives as long as its process.
+///
+/// All tasks run on one thread, so cells take the place of locks; no borrow
+/// lasts over an await.
+pub(crate) struct Shared<A: Adapter> {
+    pub(crate) settings: Settings,
+    pub(crate) keys: A::Keys,
+    pub(crate) life: Arc<LifeWatch>,
+    pub(crate) table: RefCell<Option<Arc<Table>>>,
+    pub(crate) replicas: RefCell<Replicas>,
+    pub(crate) works: RefCell<Works>,
+    pub(crate) extras: RefCell<Extras>,
+    pub(crate) splits: RefCell<Splits>,
+    pub(crate) connections: RefCell<Connections>,
+    pub(crate) hosts: Cell<usize>,
+    pub(crate) has_servers: Cell<bool>,
+    last_call: Cell<u64>,
+}
+
+impl<A: Adapter> Shared<A> {
+    pub(crate) fn new(settings: Settings, keys: A::Keys) -> Self {
+        Self {
+            keys,
+            life: Arc::default(),
+            table: RefCell::default(),
+            replicas: RefCell::new(Replicas::new(settings.place.clone())),
+            works: RefCell::default(),
+            extras: RefCell::new(Extras::new(settings.allowance, 1)),
+            splits: RefCell::default(),
+            connections: RefCell::default(),
+            hosts: Cell::new(1),
+            has_servers: Cell::new(false),
+            last_call: Cell::new(0),
+            settings,
+        }
+    }
+
+    /// Returns the configuration in force; a request takes it once and keeps it.
+    pub(crate) fn table(&self) -> Option<Arc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// Returns a number for a call, unique within the process.
+    pub(crate) fn next_call(&self) -> u64 {
+        self.last_call.set(self.last_call.get() + 1);
+        self.last_call.get()
+    }
+
+    /// Lets the host take work once it knows configuration and servers.
+    pub(crate) fn check_ready(&self) {
+        if self.table.borrow().is_some() && self.has_servers.get() {
+            self.life.on_event(LifeEvent::Configured);
+        }
+    }
+}
--- a/crates/process/host/src/claims/mod.rs
+++ b/crates/process/host/src/claims/mod.rs
@@ -13,9 +13,10 @@
 
 use {
     self::{batcher::Batcher, leases::SharedLeases},
-    crate::{life::InFlight, peer::Peers, shared::Shared},
+    crate::{peer::Peers, shared::Shared},
     fleet::{ClaimCall, ClaimReply},
     kind::{Error, Kind, Ran, Result},
+    life::InFlight,
     record::{ClaimPlaces, Route},
     std::{future::Future, sync::Arc, time::Instant},
     store::{
--- a/crates/process/host/src/flushed.rs
+++ b/crates/process/host/src/flushed.rs
@@ -4,9 +4,9 @@
 //! down must not end in between, so the transport itself holds the mark.
 
 use {
-    crate::life::{InFlight, LifeWatch},
     fleet::{PeerRequest, PeerResponse},
     futures::{Sink, Stream},
+    life::{InFlight, LifeWatch},
     std::{
         collections::HashMap,
         pin::Pin,
--- a/crates/process/host/src/lib.rs
+++ b/crates/process/host/src/lib.rs
@@ -10,7 +10,6 @@
 mod counted;
 mod entry;
 mod flushed;
-mod life;
 mod members;
 mod peer;
 mod relay;
--- a/crates/process/host/src/life.rs
+++ b/crates/process/life/src/lib.rs
@@ -1,4 +1,7 @@
-//! The life of the host, watched by its parts.
+//! The life of a host, watched by its parts.
+//!
+//! `fleet::Life` decides the steps; this crate counts the work in flight and
+//! wakes whoever waits for a step.
 
 use {
     fleet::{Life, LifeEvent, Phase},
@@ -15,7 +18,7 @@
 };
 
 /// Life of the host with the count of work in flight.
-pub(crate) struct LifeWatch {
+pub struct LifeWatch {
     life: Mutex<Life>,
     phase: watch::Sender<Phase>,
     in_flight: AtomicUsize,
@@ -23,10 +26,17 @@
 }
 
 /// Marks one request as in flight for as long as it lives.
-pub(crate) struct InFlight(Arc<LifeWatch>);
+pub struct InFlight(Arc<LifeWatch>);
+
+impl Default for LifeWatch {
+    fn default() -> Self {
+        Self::new()
+    }
+}
 
 impl LifeWatch {
-    pub(crate) fn new() -> Self {
+    /// Creates the watch of a host that starts.
+    pub fn new() -> Self {
         Self {
             life: Mutex::default(),
             phase: watch::Sender::new(Phase::Starting),
@@ -36,7 +46,7 @@
     }
 
     /// Takes an event of the host's life.
-    pub(crate) fn on_event(&self, event: LifeEvent) {
+    pub fn on_event(&self, event: LifeEvent) {
         let next = self.life.lock().on_event(event);
         let was = self.phase.send_replace(next);
         if was != next {
@@ -45,12 +55,12 @@
     }
 
     /// Returns the phase.
-    pub(crate) fn phase(&self) -> Phase {
+    pub fn phase(&self) -> Phase {
         *self.phase.borrow()
     }
 
     /// Waits until the host has reached `wanted` or a later phase.
-    pub(crate) async fn reached(&self, wanted: Phase) {
+    pub async fn reached(&self, wanted: Phase) {
         // The sender lives in `self`, so waiting cannot fail.
         let _ = self
             .phase
@@ -60,20 +70,20 @@
     }
 
     /// Counts a request as in flight, unless the host takes no new work.
-    pub(crate) fn enter(self: &Arc<Self>) -> Option<InFlight> {
+    pub fn enter(self: &Arc<Self>) -> Option<InFlight> {
         // Counted before the check, so that a drain cannot miss it in between.
         let guard = self.hold();
         matches!(self.phase(), Phase::Ready | Phase::Leaving).then_some(guard)
     }
 
     /// Counts something as in flight that the host has to finish in any phase.
-    pub(crate) fn hold(self: &Arc<Self>) -> InFlight {
+    pub fn hold(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
         InFlight(Arc::clone(self))
     }
 
     /// Waits until nothing is in flight.
-    pub(crate) async fn is_idle(&self) {
+    pub async fn is_idle(&self) {
         loop {
             let idle = self.idle.notified();
             pin!(idle);
@@ -87,14 +97,14 @@
     }
 
     /// Waits until the longest drain is over, and returns the error for what is cut then.
-    pub(crate) async fn given_up(&self) -> Error {
+    pub async fn given_up(&self) -> Error {
         self.reached(Phase::GivingUp).await;
         let detail = "the host ended its longest drain while the request was running";
         Error::new(Kind::Draining, detail).with_ran(Ran::Unknown)
     }
 
     /// Returns the number of requests in flight.
-    pub(crate) fn in_flight(&self) -> usize {
+    pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::SeqCst)
     }
 }
--- a/crates/process/meter/src/lib.rs
+++ b/crates/process/meter/src/lib.rs
@@ -7,6 +7,6 @@
 mod metrics;
 
 pub use crate::{
-    logs::{start_logs, LogFormat},
+    logs::{start_json_logs, start_logs, LogFormat},
     metrics::{LeafLabels, Metrics, QueryLabels},
 };
--- a/crates/process/meter/src/logs.rs
+++ b/crates/process/meter/src/logs.rs
@@ -32,6 +32,20 @@
     }
 }
 
+/// Starts logging JSON lines to standard output; the handle keeps the logger alive.
+///
+/// # Errors
+///
+/// Returns an error if `level` is not a log specification or a logger already runs.
+pub fn start_json_logs(level: &str) -> Result<LoggerHandle> {
+    Logger::try_with_str(level)
+        .context("the log level is not valid")?
+        .format(json_format)
+        .log_to_stdout()
+        .start()
+        .context("the logger does not start")
+}
+
 /// Starts logging to standard error; the handle keeps the logger alive.
 ///
 /// # Errors
--- a/crates/process/store/src/lib.rs
+++ b/crates/process/store/src/lib.rs
@@ -11,6 +11,7 @@
 mod commit;
 mod history;
 mod http;
+mod keys;
 mod load;
 mod platform;
 mod prepare;
@@ -30,6 +31,7 @@
     commit::{commit, Commit, Committed},
     history::{body_key_at, find_operation, load_history, MAX_HISTORY},
     http::HttpPlatform,
+    keys::{Changes, Item, KeyEvent, Keys, Listing, StoreRevision},
     load::{load_body, load_bundle, load_head, HEAD_KEY},
     platform::{Expected, Fault, KeyRevision, LeaseId, ListedHost, Platform, Role, Value},
     prepare::KEPT_FOR,
--- a/crates/request/plan/src/lib.rs
+++ b/crates/request/plan/src/lib.rs
@@ -25,6 +25,7 @@
 
 pub use crate::{
     answer::{Answer, ShardRows},
+    budget::Budget,
     call::{Cause, LeafCall, LeafFailure, LeafReply},
     coverage::{CoverageReport, MissingShard, Reason},
     event::{Action, Event},
--- /dev/null
+++ b/crates/version/routing/src/lib.rs
@@ -0,0 +1,44 @@
+//! Routes by host name and path prefix, and the services that they name.
+//!
+//! A [`Table`] is one version of the configuration, checked once when it is
+//! built and never changed. A request takes the table in force when it
+//! arrives and keeps it, so all parts of an answer come from one version.
+//!
+//! # Examples
+//!
+//! ```
+//! use {
+//!     routing::{RawCallerLimits, RawRoute, RawTable, RawTarget, Table},
+//!     std::collections::HashMap,
+//! };
+//!
+//! let table = Table::try_from(RawTable {
+//!     version: 7,
+//!     routes: vec![RawRoute {
+//!         name: "lookup".to_owned(),
+//!         hostname: "stock.example".to_owned(),
+//!         prefix: "/items/".to_owned(),
+//!         is_repeatable: true,
+//!         timeout_ms: 600,
+//!         target_latency_ms: 100,
+//!         priority: 0,
+//!         max_attempts: 2,
+//!         target: RawTarget::One("ledger".to_owned()),
+//!     }],
+//!     connection_limits: HashMap::from([("ledger".to_owned(), 26)]),
+//!     caller_limits: RawCallerLimits::default(),
+//! })?;
+//! assert!(table.find("Stock.Example:8080", "/items/4711").is_some());
+//! assert!(table.find("stock.example", "/orders/1").is_none());
+//! # Ok::<(), kind::Error>(())
+//! ```
+
+mod raw;
+mod route;
+mod table;
+
+pub use crate::{
+    raw::{RawCallerLimits, RawRoute, RawTable, RawTarget},
+    route::{Route, ServiceName, ShardSet, Target, Weighted},
+    table::{CallerLimits, Table, TableVersion},
+};
--- /dev/null
+++ b/crates/version/routing/src/table.rs
@@ -0,0 +1,113 @@
+//! One version of the configuration, ready for look-ups.
+
+use {
+    crate::{RawCallerLimits, RawTable, Route, ServiceName},
+    kind::{Error, Result},
+    std::{collections::HashMap, sync::Arc, time::Duration},
+};
+
+/// Version of a table; a higher one goes before a lower one.
+pub type TableVersion = u64;
+
+/// Connections that a server accepts if its service names no number.
+const DEFAULT_CONNECTION_LIMIT: u32 = 16;
+
+/// What a caller may send, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time for the head of a request.
+    pub header_timeout: Duration,
+    /// Longest time without a request on a connection.
+    pub idle_timeout: Duration,
+}
+
+impl From<RawCallerLimits> for CallerLimits {
+    fn from(raw: RawCallerLimits) -> Self {
+        Self {
+            max_header_bytes: usize::try_from(raw.max_header_bytes).unwrap_or(usize::MAX),
+            max_body_bytes: usize::try_from(raw.max_body_bytes).unwrap_or(usize::MAX),
+            header_timeout: Duration::from_millis(raw.header_timeout_ms),
+            idle_timeout: Duration::from_millis(raw.idle_timeout_ms),
+        }
+    }
+}
+
+/// One checked version of the configuration.
+#[derive(Clone, Debug)]
+pub struct Table {
+    version: TableVersion,
+    /// Routes of each host name, the longest prefix first.
+    by_hostname: HashMap<String, Vec<Arc<Route>>>,
+    connection_limits: HashMap<ServiceName, u32>,
+    caller_limits: CallerLimits,
+}
+
+impl Table {
+    /// Returns the version.
+    pub fn version(&self) -> TableVersion {
+        self.version
+    }
+
+    /// Returns what callers may send.
+    pub fn caller_limits(&self) -> CallerLimits {
+        self.caller_limits
+    }
+
+    /// Returns the route of a request, whose host may carry a port.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let hostname = without_port(host);
+        let routes = match self.by_hostname.get(hostname) {
+            Some(routes) => routes,
+            // Host names are compared without case; most callers send lower case.
+            None => self.by_hostname.get(&hostname.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.by_hostname.values().flatten()
+    }
+
+    /// Returns the connections that each server of a service accepts.
+    pub fn connection_limit(&self, service: &ServiceName) -> u32 {
+        let limit = self.connection_limits.get(service).copied();
+        limit.unwrap_or(DEFAULT_CONNECTION_LIMIT)
+    }
+}
+
+impl TryFrom<RawTable> for Table {
+    type Error = Error;
+
+    fn try_from(raw: RawTable) -> Result<Self> {
+        let mut by_hostname: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in raw.routes {
+            let route = Route::try_from(route)?;
+            let routes = by_hostname.entry(route.hostname.clone()).or_default();
+            routes.push(Arc::new(route));
+        }
+        for routes in by_hostname.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let connection_limits = raw.connection_limits.into_iter();
+        Ok(Self {
+            version: raw.version,
+            by_hostname,
+            connection_limits: connection_limits
+                .map(|(name, limit)| (name.as_str().into(), limit))
+                .collect(),
+            caller_limits: raw.caller_limits.into(),
+        })
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
