--- a/crates/connection/replica/src/directory.rs
+++ b/crates/connection/replica/src/directory.rs
@@ -1,7 +1,10 @@
 //! All servers that are known, and the choice among those of a service.
 
 use {
-    crate::{forecast, server::Server, Entry, Place, ReplicaKey, ServerId, Standing, StatedLoad},
+    crate::{
+        forecast, server::Server, Distance, Entry, Place, ReplicaKey, ServerId, Standing,
+        StatedLoad,
+    },
     link::Evidence,
     rand::Rng,
     routing::ServiceName,
@@ -39,6 +42,8 @@
     pub expected: Duration,
     /// Whether it has a free slot, as far as is known.
     pub is_free: bool,
+    /// How far away it is.
+    pub distance: Distance,
 }
 
 /// All servers that are known.
@@ -200,6 +205,7 @@
                     key: *key,
                     expected,
                     is_free: forecast::is_free(server, now),
+                    distance: server.distance,
                 };
                 best = Some((class, cost, pick));
             }
--- a/crates/process/fleet/src/choice.rs
+++ b/crates/process/fleet/src/choice.rs
@@ -91,7 +91,8 @@
         self.tracks.values().map(|track| track.in_flight).sum()
     }
 
-    fn has_failed(&self, member: &Member, now: Instant) -> bool {
+    /// Returns whether a host failed a moment ago.
+    pub fn has_failed(&self, member: &Member, now: Instant) -> bool {
         let failed_at = self.tracks.get(&member.id).and_then(|t| t.failed_at);
         failed_at.is_some_and(|at| now.saturating_duration_since(at) < FAILURE_MEMORY)
     }
--- a/crates/process/fleet/src/lib.rs
+++ b/crates/process/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 mod life;
 mod member;
 mod message;
+mod reader;
 mod relay_set;
 mod rumour;
 mod table;
@@ -30,6 +31,7 @@
     life::{Life, LifeEvent, Phase},
     member::{Entry, EntryVersion, Incarnation, Member, Standing},
     message::{MalformedReport, Message, WireEntry, WireFact, WireMessage, WireReport},
+    reader::reader_candidates,
     relay_set::{eligible, relay_count, relay_set, RelayLimits},
     rumour::{Rumour, Rumours},
     table::{
--- a/crates/process/gateway/src/adapter.rs
+++ b/crates/process/gateway/src/adapter.rs
@@ -83,6 +83,9 @@
     /// Returns whether `header` of a server's answer goes to the caller.
     fn is_passed_on(header: &http::HeaderName) -> bool;
 
+    /// Returns whether `header` of a caller goes to servers, or says what the caller asks for.
+    fn is_relayed(header: &http::HeaderName) -> bool;
+
     /// Writes the headers of an answer that is made of several parts.
     fn merged_headers(proofs: &[HeaderValue], missing: usize) -> HeaderMap;
 }
--- a/crates/process/gateway/src/answer.rs
+++ b/crates/process/gateway/src/answer.rs
@@ -8,7 +8,7 @@
     kind::{Error, Kind, Ran},
     plan::Reason,
     routing::ShardSet,
-    scatter::{greatest_records, Outcome, PartEnd},
+    scatter::{greatest_records, Outcome},
     std::time::Duration,
 };
 
@@ -29,37 +29,59 @@
     answer
 }
 
-/// Merges the parts that servers of the shards sent.
-pub(crate) fn merged<A: Adapter>(parts: Vec<Reply>, missing: usize, set: &ShardSet) -> Answer {
-    let proofs = parts.iter().filter_map(|part| part.word.proof.clone());
-    let proofs: Vec<HeaderValue> = proofs.collect();
-    let bodies: Vec<Bytes> = parts.into_iter().map(|part| part.body).collect();
+/// What covers parts of a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Piece {
+    /// The answer of a server.
+    Own(Reply),
+    /// The answers of several servers, merged by a relay.
+    Relayed {
+        proofs: Vec<HeaderValue>,
+        records: Bytes,
+    },
+}
+
+/// Merges what covers the parts of a query.
+pub(crate) fn merged<A: Adapter>(outcome: Outcome<Piece>, set: &ShardSet) -> Answer {
+    let mut proofs = Vec::with_capacity(outcome.parts);
+    let mut bodies = Vec::with_capacity(outcome.bundles.len());
+    for bundle in outcome.bundles {
+        match bundle.reply {
+            Piece::Own(reply) => {
+                proofs.extend(reply.word.proof);
+                bodies.push(reply.body);
+            }
+            Piece::Relayed {
+                proofs: of_relay,
+                records,
+            } => {
+                proofs.extend(of_relay);
+                bodies.push(records);
+            }
+        }
+    }
     let mut answer = Response::new(Full::new(greatest_records(&bodies, set.keep_records)));
+    let missing = outcome.missing.len();
     *answer.headers_mut() = A::Protocol::merged_headers(&proofs, missing);
     answer
 }
 
 /// Returns the error for a request that brought too little.
 pub(crate) fn shortfall<R>(outcome: &Outcome<R>, retry_after: Duration) -> Error {
-    let mut missing: Vec<(Reason, usize)> = Vec::new();
-    for part in &outcome.parts {
-        if let PartEnd::Missing(reason) = part.end {
-            match missing.iter_mut().find(|(known, _)| *known == reason) {
-                Some((_, count)) => *count += 1,
-                None => missing.push((reason, 1)),
-            }
+    let mut counts: Vec<(Reason, usize)> = Vec::new();
+    for (_, reason) in &outcome.missing {
+        match counts.iter_mut().find(|(known, _)| known == reason) {
+            Some((_, count)) => *count += 1,
+            None => counts.push((*reason, 1)),
         }
     }
-    missing.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-    let told = missing
+    counts.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    let told = counts
         .iter()
         .map(|(reason, n)| format!("{n} {}", reason.as_str()));
-    let detail = format!(
-        "of {} parts were missing: {}",
-        outcome.parts.len(),
-        told.collect::<Vec<_>>().join(", ")
-    );
-    let kind = match missing.first() {
+    let told = told.collect::<Vec<_>>().join(", ");
+    let detail = format!("of {} parts were missing: {told}", outcome.parts);
+    let kind = match counts.first() {
         Some((Reason::Deadline | Reason::NotAwaited, _)) => Kind::DeadlineExceeded,
         Some((Reason::Shed | Reason::Draining, _)) => Kind::Shed,
         Some((Reason::Unreachable, _)) => Kind::Unreachable,
--- a/crates/process/gateway/src/call.rs
+++ b/crates/process/gateway/src/call.rs
@@ -6,9 +6,10 @@
 
 use {
     crate::{
-        adapter::Reply,
+        answer::Piece,
         exchange::{self, Ended, Failed, Outgoing},
         shared::Shared,
+        view::Via,
         Adapter,
     },
     link::Evidence,
@@ -29,15 +30,16 @@
 /// Time beyond the caller's for which an answer is waited for.
 const LATE_SLACK: Duration = Duration::from_millis(20);
 
-/// What a call brought to its request.
-pub(crate) type CallEnd = (AttemptId, Result<Reply, Failed>);
+/// What calls brought to their request.
+pub(crate) type CallEnd = (Vec<AttemptId>, Result<Piece, Failed>);
 
 /// Makes a call and sends its end to the request, if that still waits.
 pub(crate) async fn run<A: Adapter>(
     shared: Rc<Shared<A>>,
     route: Arc<str>,
     limit: u32,
-    call: Call<ReplicaKey>,
+    call: Call<Via>,
+    server: ReplicaKey,
     outgoing: Rc<Outgoing>,
     ends: UnboundedSender<CallEnd>,
 ) {
@@ -45,17 +47,17 @@
     let began = Instant::now();
     {
         let mut replicas = shared.replicas.borrow_mut();
-        replicas.on_begin(call.server, number, call.expected, began);
+        replicas.on_begin(server, number, call.expected, began);
     }
     let open = Open {
         shared: &shared,
         route: &route,
-        server: call.server,
+        server,
         number,
     };
     let left = outgoing.deadline.saturating_duration_since(began) + LATE_SLACK;
     let ended = select! {
-        ended = exchange::run(&shared, call.server, limit, &outgoing) => Some(ended),
+        ended = exchange::run(&shared, server, limit, &outgoing) => Some(ended),
         () = async { ends.closed().await; sleep(LINGER).await } => None,
         () = sleep(left) => None,
     };
@@ -63,27 +65,29 @@
         Some(Ended { result, evidence }) => {
             open.end(evidence);
             if let Err(failed) = &result {
-                on_failed(&shared, &call, failed);
+                on_failed(&shared, &call, server, failed);
             }
             // The request may have ended without this call.
-            let _ = ends.send((call.attempt, result));
+            let _ = ends.send((vec![call.attempt], result.map(Piece::Own)));
         }
         None => {
             // Nothing came for long: other connections of the same age may be silent too.
-            shared
-                .connections
-                .borrow_mut()
-                .on_silence(call.server, began);
+            shared.connections.borrow_mut().on_silence(server, began);
             open.end(Evidence::Cancelled(began.elapsed()));
         }
     }
 }
 
-fn on_failed<A: Adapter>(shared: &Shared<A>, call: &Call<ReplicaKey>, failed: &Failed) {
+fn on_failed<A: Adapter>(
+    shared: &Shared<A>,
+    call: &Call<Via>,
+    server: ReplicaKey,
+    failed: &Failed,
+) {
     if failed.has_moved {
         log::info!(target: "upstream", "Another server has the address of {}.", call.service);
-        shared.replicas.borrow_mut().on_moved(call.server);
-        shared.connections.borrow_mut().forget(call.server);
+        shared.replicas.borrow_mut().on_moved(server);
+        shared.connections.borrow_mut().forget(server);
     }
 }
 
--- a/crates/process/gateway/src/follow.rs
+++ b/crates/process/gateway/src/follow.rs
@@ -1,192 +1,101 @@
-//! Configuration and servers, followed in the platform's store.
+//! The store, read by this host itself.
 //!
 //! What is known is kept while the store does not answer: a read that failed
 //! is not an empty list.
 
 use {
-    crate::{pulse::Link, shared::Shared, Adapter, Layout},
-    kind::Result,
-    replica::{Arrival, ServerId},
-    routing::Table,
-    std::{
-        collections::HashSet,
-        rc::Rc,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
-    store::{Changes, Fault, Item, KeyEvent, Keys, StoreRevision},
-    tokio::time::sleep,
+    crate::{apply, shared::Shared, Adapter, Layout},
+    std::time::{Duration, Instant},
+    store::{Changes, Fault, Keys, StoreRevision},
+    tokio::{time::sleep, try_join},
 };
 
 /// Time for which one call waits for a change of the configuration. It bounds
 /// how long a call that went silent hides changes.
 const CONFIG_WAIT: Duration = Duration::from_secs(4);
+/// Time for which one call waits for a change of the hosts.
+const HOSTS_WAIT: Duration = Duration::from_secs(10);
 /// Pause between questions for changes of servers. Servers write about every
 /// second, so that a call that waits is answered at once; a server that
 /// drains serves for 3 s at least after the store knows.
 const SERVER_PAUSE: Duration = Duration::from_millis(900);
 
-/// Follows the configuration for as long as the process lives.
-pub(crate) async fn follow_config<A: Adapter>(shared: Rc<Shared<A>>) {
-    let mut link = Link::new("configuration");
-    let mut after = None;
-    loop {
-        match next_config(&shared, after).await {
-            Ok(revision) => {
-                link.on_success();
-                after = revision;
-            }
-            Err(fault) => sleep(link.on_fault(&fault)).await,
-        }
-    }
-}
-
-/// Reads the configuration, or waits for a change of it after a revision.
-async fn next_config<A: Adapter>(
+/// Reads the store until a call fails.
+///
+/// # Errors
+///
+/// Returns the fault of the call.
+pub(crate) async fn read<A: Adapter>(
     shared: &Shared<A>,
-    after: Option<StoreRevision>,
-) -> Result<Option<StoreRevision>, Fault> {
-    let key = A::Layout::CONFIG_KEY;
-    let Some(after) = after else {
-        let listing = shared.keys.list(key).await?;
-        listing.items.iter().for_each(|item| adopt(shared, item));
-        return Ok(Some(listing.revision));
-    };
-    match shared.keys.changes(key, after, CONFIG_WAIT).await? {
-        Changes::Since { events, revision } => {
-            for event in &events {
-                if let KeyEvent::Written(item) = event {
-                    adopt(shared, item);
-                }
-            }
-            Ok(Some(revision))
-        }
-        Changes::HistoryGone => Ok(None),
-    }
+    on_answer: &mut impl FnMut(),
+) -> Result<(), Fault> {
+    let hosts = list(shared, apply::HOST_PREFIX).await?;
+    let config = list(shared, A::Layout::CONFIG_KEY).await?;
+    let servers = list(shared, A::Layout::SERVER_PREFIX).await?;
+    on_answer();
+    try_join!(
+        keep(
+            shared,
+            apply::HOST_PREFIX,
+            hosts,
+            HOSTS_WAIT,
+            Duration::ZERO
+        ),
+        keep(
+            shared,
+            A::Layout::CONFIG_KEY,
+            config,
+            CONFIG_WAIT,
+            Duration::ZERO
+        ),
+        keep(
+            shared,
+            A::Layout::SERVER_PREFIX,
+            servers,
+            Duration::ZERO,
+            SERVER_PAUSE
+        ),
+    )
+    .map(|_| ())
 }
 
-fn adopt<A: Adapter>(shared: &Shared<A>, item: &Item) {
-    if item.key != A::Layout::CONFIG_KEY {
-        return;
+/// Reads all keys that begin with `prefix`, and returns the revision to go on from.
+async fn list<A: Adapter>(shared: &Shared<A>, prefix: &str) -> Result<StoreRevision, Fault> {
+    let began = Instant::now();
+    let listing = shared.keys.list(prefix).await?;
+    apply::listing(shared, prefix, listing.items);
+    if prefix == A::Layout::SERVER_PREFIX {
+        shared.catalog.borrow_mut().on_read(began);
     }
-    match A::Layout::read_table(&item.bytes).and_then(Table::try_from) {
-        Ok(table) => put_in_force(shared, table),
-        Err(error) => {
-            log::error!(target: "config", "Configuration not adopted: {error}.");
-        }
-    }
-}
-
-fn put_in_force<A: Adapter>(shared: &Shared<A>, table: Table) {
-    let held = shared.table().map_or(0, |held| held.version());
-    let version = table.version();
-    if shared.table().is_some() && version <= held {
-        // A process never goes back to an older version.
-        if version < held {
-            log::warn!(target: "config", "Version {version} is older than {held} and not adopted.");
-        }
-        return;
-    }
-    let routes = table.routes().count();
-    shared.table.replace(Some(Arc::new(table)));
-    log::info!(target: "config", "Version {version} in force after {held}, {routes} routes.");
-    shared.check_ready();
+    Ok(listing.revision)
 }
 
-/// Follows the servers for as long as the process lives.
-pub(crate) async fn follow_servers<A: Adapter>(shared: Rc<Shared<A>>) {
-    let mut link = Link::new("servers");
-    let mut after = None;
+/// Takes changes of keys that begin with `prefix`.
+async fn keep<A: Adapter>(
+    shared: &Shared<A>,
+    prefix: &str,
+    mut after: StoreRevision,
+    wait: Duration,
+    pause: Duration,
+) -> Result<(), Fault> {
     loop {
-        match next_servers(&shared, after).await {
-            Ok(revision) => {
-                link.on_success();
+        sleep(pause).await;
+        let began = Instant::now();
+        match shared.keys.changes(prefix, after, wait).await? {
+            Changes::Since { events, revision } => {
+                for event in &events {
+                    apply::event(shared, event);
+                }
                 after = revision;
-                if after.is_some() {
-                    sleep(SERVER_PAUSE).await;
+                if prefix == A::Layout::SERVER_PREFIX {
+                    // Asked every second, so that it tells for all of the store.
+                    shared.catalog.borrow_mut().on_read(began);
                 }
             }
-            Err(fault) => sleep(link.on_fault(&fault)).await,
-        }
-        forget_gone(&shared);
-    }
-}
-
-async fn next_servers<A: Adapter>(
-    shared: &Shared<A>,
-    after: Option<StoreRevision>,
-) -> Result<Option<StoreRevision>, Fault> {
-    let prefix = A::Layout::SERVER_PREFIX;
-    let Some(after) = after else {
-        let listing = shared.keys.list(prefix).await?;
-        let listed = listing.items.iter().filter_map(server_id::<A>).collect();
-        learn(shared, &listing.items);
-        unlist_all_but(shared, &listed);
-        shared.has_servers.set(true);
-        shared.check_ready();
-        return Ok(Some(listing.revision));
-    };
-    match shared.keys.changes(prefix, after, Duration::ZERO).await? {
-        Changes::Since { events, revision } => {
-            events
-                .into_iter()
-                .for_each(|event| take_event(shared, event));
-            Ok(Some(revision))
-        }
-        Changes::HistoryGone => Ok(None),
-    }
-}
-
-fn take_event<A: Adapter>(shared: &Shared<A>, event: KeyEvent) {
-    match event {
-        KeyEvent::Written(item) => learn(shared, &[item]),
-        KeyEvent::Removed(key) => {
-            let id = key.strip_prefix(A::Layout::SERVER_PREFIX).unwrap_or(&key);
-            if shared.replicas.borrow_mut().unlist(id, Instant::now()) {
-                log::info!(target: "upstream", "Server {id} is listed no more.");
-            }
-        }
-    }
-}
-
-fn server_id<A: Adapter>(item: &Item) -> Option<ServerId> {
-    item.key
-        .strip_prefix(A::Layout::SERVER_PREFIX)
-        .map(ServerId::from)
-}
-
-fn learn<A: Adapter>(shared: &Shared<A>, items: &[Item]) {
-    let now = Instant::now();
-    for item in items {
-        let Some(id) = server_id::<A>(item) else {
-            continue;
-        };
-        match A::Layout::read_server(id.clone(), &item.bytes) {
-            Ok(entry) => {
-                let standing = entry.standing;
-                let arrival = shared.replicas.borrow_mut().learn(entry, now);
-                if arrival != Arrival::Same {
-                    log::info!(target: "upstream", "Server {id} is {arrival:?}, {standing:?}.");
-                }
+            Changes::HistoryGone => {
+                log::info!(target: "store", "The history of {prefix} is gone; read again.");
+                after = list(shared, prefix).await?;
             }
-            // Other writers leave entries too; they name no server to use.
-            Err(error) => log::debug!(target: "upstream", "Entry {id} not used: {error}."),
         }
     }
 }
-
-fn unlist_all_but<A: Adapter>(shared: &Shared<A>, listed: &HashSet<ServerId>) {
-    let gone = shared
-        .replicas
-        .borrow_mut()
-        .unlist_all_but(listed, Instant::now());
-    if gone > 0 {
-        log::info!(target: "upstream", "{gone} servers are listed no more.");
-    }
-}
-
-fn forget_gone<A: Adapter>(shared: &Shared<A>) {
-    let gone = shared.replicas.borrow_mut().take_gone(Instant::now());
-    let mut connections = shared.connections.borrow_mut();
-    gone.into_iter().for_each(|key| connections.forget(key));
-}
--- a/crates/process/gateway/src/lib.rs
+++ b/crates/process/gateway/src/lib.rs
@@ -11,13 +11,18 @@
 
 mod adapter;
 mod answer;
+mod apply;
 mod call;
+mod catalog;
 mod connections;
 mod exchange;
 mod follow;
 mod listen;
 mod membership;
+mod news;
+mod peer;
 mod pulse;
+mod relay;
 mod run;
 mod serve;
 mod settings;
--- a/crates/process/gateway/src/membership.rs
+++ b/crates/process/gateway/src/membership.rs
@@ -4,27 +4,24 @@
 //! calls. It falls late: a key may also lapse while the store is away.
 
 use {
-    crate::{pulse::Link, shared::Shared, Adapter},
+    crate::{apply::HOST_PREFIX, pulse::Link, shared::Shared, Adapter},
     bytes::Bytes,
-    fleet::Phase,
+    fleet::{Member, Phase},
+    record::HostId,
     std::{
-        collections::HashMap,
+        collections::BTreeMap,
         rc::Rc,
         time::{Duration, Instant},
     },
-    store::{Changes, Fault, KeyEvent, Keys, LeaseId, StoreRevision},
+    store::{Fault, Keys, LeaseId},
     tokio::{select, time::sleep},
 };
 
-/// Prefix of the keys of hosts.
-const PREFIX: &str = "wharf/hosts/";
 /// Time for which a host is listed without a renewal: longer than most outages
 /// of the store.
 const LEASE_TIME: Duration = Duration::from_secs(15);
 /// Pause between renewals; three may fail.
 const RENEW_PAUSE: Duration = Duration::from_secs(4);
-/// Time for which one call waits for a change of the list.
-const LIST_WAIT: Duration = Duration::from_secs(10);
 /// Time for which a host that is listed no more is still counted.
 const COUNTED_FOR: Duration = Duration::from_secs(20);
 
@@ -35,7 +32,7 @@
     loop {
         let step = renew(&shared, lease);
         let pause = select! {
-            () = shared.life.reached(Phase::Finishing) => break,
+            () = shared.life.reached(Phase::Leaving) => break,
             result = step => match result {
                 Ok(held) => {
                     link.on_success();
@@ -46,10 +43,11 @@
             },
         };
         select! {
-            () = shared.life.reached(Phase::Finishing) => break,
+            () = shared.life.reached(Phase::Leaving) => break,
             () = sleep(pause) => {}
         }
     }
+    // Peers are told at once, before this host stops to serve them.
     if let Some(lease) = lease {
         if let Err(fault) = shared.keys.end(lease).await {
             log::warn!(target: "fleet", "The lease of this host runs out by itself: {fault:?}.");
@@ -62,91 +60,88 @@
     shared: &Shared<A>,
     lease: Option<LeaseId>,
 ) -> Result<Option<LeaseId>, Fault> {
-    if let Some(lease) = lease {
+    let own = &shared.settings.member;
+    // The store may have dropped the key of a lease that it still renews.
+    let is_listed = shared.members.borrow().is_listed(&own.id);
+    if let Some(lease) = lease.filter(|_| is_listed || !shared.is_informed()) {
         let is_held = shared.keys.renew(lease).await?;
         return Ok(is_held.then_some(lease));
     }
     let lease = shared.keys.grant(LEASE_TIME).await?;
-    let key = format!("{PREFIX}{}", shared.settings.host_id);
-    let value = Bytes::from(shared.settings.place.zone.clone());
-    let is_written = shared.keys.write(&key, value, lease).await?;
+    let value = serde_json::to_vec(own).map_err(|e| Fault::Unreachable(e.to_string()))?;
+    let key = format!("{HOST_PREFIX}{}", own.id);
+    let is_written = shared.keys.write(&key, Bytes::from(value), lease).await?;
     log::info!(target: "fleet", "This host is listed under lease {lease}.");
     Ok(is_written.then_some(lease))
 }
 
-/// Counts the hosts for as long as the process lives.
-pub(crate) async fn follow_hosts<A: Adapter>(shared: Rc<Shared<A>>) {
-    let mut link = Link::new("hosts");
-    let mut hosts = Hosts::default();
-    let mut after = None;
-    loop {
-        match next_hosts(&shared, &mut hosts, after).await {
-            Ok(revision) => {
-                link.on_success();
-                after = revision;
-            }
-            Err(fault) => sleep(link.on_fault(&fault)).await,
-        }
-        let count = hosts.count(Instant::now()).max(1);
-        if shared.hosts.replace(count) != count {
-            shared.extras.borrow_mut().set_hosts(count);
-            log::info!(target: "fleet", "{count} hosts are counted.");
-        }
-    }
+#[derive(Debug)]
+struct Listed {
+    member: Member,
+    /// Since when the host is listed no more.
+    gone_since: Option<Instant>,
 }
 
-async fn next_hosts<A: Adapter>(
-    shared: &Shared<A>,
-    hosts: &mut Hosts,
-    after: Option<StoreRevision>,
-) -> Result<Option<StoreRevision>, Fault> {
-    let Some(after) = after else {
-        let listing = shared.keys.list(PREFIX).await?;
-        hosts.unlist_all(Instant::now());
-        listing
-            .items
-            .into_iter()
-            .for_each(|item| hosts.list(item.key));
-        return Ok(Some(listing.revision));
-    };
-    match shared.keys.changes(PREFIX, after, LIST_WAIT).await? {
-        Changes::Since { events, revision } => {
-            for event in events {
-                match event {
-                    KeyEvent::Written(item) => hosts.list(item.key),
-                    KeyEvent::Removed(key) => hosts.unlist(&key, Instant::now()),
-                }
-            }
-            Ok(Some(revision))
+/// The hosts that are listed, and those that were a moment ago.
+#[derive(Debug, Default)]
+pub(crate) struct Members {
+    hosts: BTreeMap<HostId, Listed>,
+    alive: Rc<Vec<Member>>,
+}
+
+impl Members {
+    /// Takes an entry of the list, and returns whether it says something new.
+    pub(crate) fn list(&mut self, member: Member) -> bool {
+        let listed = Listed {
+            member,
+            gone_since: None,
+        };
+        let known = self.hosts.get(&listed.member.id);
+        let is_same =
+            known.is_some_and(|known| known.member == listed.member && known.gone_since.is_none());
+        if !is_same {
+            self.hosts.insert(listed.member.id.clone(), listed);
+            self.refresh();
         }
-        Changes::HistoryGone => Ok(None),
+        !is_same
     }
-}
 
-/// Hosts by key, with the time since which one is listed no more.
-#[derive(Debug, Default)]
-struct Hosts(HashMap<String, Option<Instant>>);
+    /// Takes the end of an entry, and returns whether the host was listed.
+    pub(crate) fn unlist(&mut self, id: &str, now: Instant) -> bool {
+        let listed = self
+            .hosts
+            .get_mut(id)
+            .filter(|host| host.gone_since.is_none());
+        let Some(host) = listed else {
+            return false;
+        };
+        host.gone_since = Some(now);
+        self.refresh();
+        true
+    }
 
-impl Hosts {
-    fn list(&mut self, key: String) {
-        self.0.insert(key, None);
+    fn refresh(&mut self) {
+        let listed = self.hosts.values().filter(|host| host.gone_since.is_none());
+        self.alive = Rc::new(listed.map(|host| host.member.clone()).collect());
     }
 
-    fn unlist(&mut self, key: &str, now: Instant) {
-        if let Some(since) = self.0.get_mut(key) {
-            since.get_or_insert(now);
-        }
+    /// Returns the hosts that are listed, by name.
+    pub(crate) fn alive(&self) -> Rc<Vec<Member>> {
+        Rc::clone(&self.alive)
     }
 
-    fn unlist_all(&mut self, now: Instant) {
-        for since in self.0.values_mut() {
-            since.get_or_insert(now);
-        }
+    /// Returns whether a host is listed.
+    pub(crate) fn is_listed(&self, id: &str) -> bool {
+        self.hosts
+            .get(id)
+            .is_some_and(|host| host.gone_since.is_none())
     }
 
-    fn count(&mut self, now: Instant) -> usize {
+    /// Returns the number of hosts to share with, those that went a moment ago included.
+    pub(crate) fn count(&mut self, now: Instant) -> usize {
         let is_counted = |since: Instant| now.saturating_duration_since(since) < COUNTED_FOR;
-        self.0.retain(|_, since| since.is_none_or(is_counted));
-        self.0.len()
+        self.hosts
+            .retain(|_, host| host.gone_since.is_none_or(is_counted));
+        self.hosts.len().max(1)
     }
 }
--- /dev/null
+++ b/crates/process/gateway/src/news.rs
@@ -0,0 +1,191 @@
+//! The store, read by one host of each region and told to the others.
+
+use {
+    crate::{
+        apply, follow,
+        peer::{self, NewsCall, NewsReply, WireItem, PROTOCOL_VERSION},
+        pulse::Link,
+        shared::Shared,
+        Adapter, Layout,
+    },
+    fleet::{reader_candidates, Member},
+    kind::{Error, Kind, Result},
+    record::HostId,
+    std::{
+        collections::HashMap,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    store::{Item, KeyEvent},
+    tokio::{
+        select,
+        time::{sleep, timeout},
+    },
+};
+
+/// Time for which a peer waits for news before it answers that there are none.
+const NEWS_WAIT: Duration = Duration::from_millis(700);
+/// Time beyond that for the way to a peer of another region and back.
+const NEWS_SLACK: Duration = Duration::from_millis(400);
+/// Age from which the knowledge of a peer is not good enough. A server that
+/// drains serves for 3 s at least after the store knows.
+const MAX_AGE: Duration = Duration::from_millis(1_900);
+/// Time for which a peer that did not answer well is not asked again.
+const FAILURE_MEMORY: Duration = Duration::from_secs(3);
+/// Pause between looks whether somebody can be asked.
+const DUTY_PAUSE: Duration = Duration::from_millis(500);
+/// Time since a fault of the store for which this host counts as cut from it.
+const CUT_MEMORY: Duration = Duration::from_secs(2);
+
+/// Tells a peer what has changed, as soon as something has.
+pub(crate) async fn tell<A: Adapter>(shared: &Shared<A>, call: &NewsCall) -> NewsReply {
+    let wait = Duration::from_millis(call.wait_ms.into()).min(NEWS_WAIT);
+    let changed = async {
+        loop {
+            let notified = shared.has_news.notified();
+            if shared.catalog.borrow().has_news(call.epoch, call.after) {
+                return;
+            }
+            notified.await;
+        }
+    };
+    // No news in time is an answer as well: it says how old the knowledge is.
+    let _ = timeout(wait, changed).await;
+    let catalog = shared.catalog.borrow();
+    catalog.tell(call.epoch, call.after, Instant::now())
+}
+
+/// Whom this host asks, and what it has taken of that one.
+#[derive(Default)]
+struct Sources {
+    failed: HashMap<HostId, Instant>,
+    epoch: u64,
+    after: u64,
+    cut_at: Option<Instant>,
+}
+
+impl Sources {
+    fn candidates(&mut self, own_id: &str, members: &[Member], now: Instant) -> Vec<Member> {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < FAILURE_MEMORY;
+        self.failed.retain(|_, at| is_recent(at));
+        let is_cut = self
+            .cut_at
+            .is_some_and(|at| now.saturating_duration_since(at) < CUT_MEMORY);
+        let candidates = reader_candidates(own_id, members, is_cut).into_iter();
+        let sound = candidates.filter(|member| !self.failed.contains_key(&member.id));
+        sound.cloned().collect()
+    }
+}
+
+/// Keeps this host informed for as long as the process lives.
+pub(crate) async fn follow<A: Adapter>(shared: Rc<Shared<A>>) {
+    let mut link = Link::new("configuration, the hosts and the servers");
+    let mut sources = Sources::default();
+    loop {
+        if ask_peers(&shared, &mut sources).await {
+            continue;
+        }
+        let mut on_answer = || link.on_success();
+        let fault = select! {
+            read = follow::read(&shared, &mut on_answer) => read.err(),
+            () = somebody_to_ask(&shared, &mut sources) => None,
+        };
+        // What is known may be of another one by now.
+        sources.epoch = 0;
+        if let Some(fault) = fault {
+            sources.cut_at = Some(Instant::now());
+            let pause = link.on_fault(&fault);
+            if !ask_peers(&shared, &mut sources).await {
+                sleep(pause).await;
+            }
+        }
+    }
+}
+
+/// Waits until a peer can be asked in place of the store.
+async fn somebody_to_ask<A: Adapter>(shared: &Shared<A>, sources: &mut Sources) {
+    loop {
+        sleep(DUTY_PAUSE).await;
+        let members = shared.members.borrow().alive();
+        let own_id = &shared.settings.member.id;
+        if !sources
+            .candidates(own_id, &members, Instant::now())
+            .is_empty()
+        {
+            return;
+        }
+    }
+}
+
+/// Takes the news of the first peer that has good ones; returns whether there was one.
+async fn ask_peers<A: Adapter>(shared: &Shared<A>, sources: &mut Sources) -> bool {
+    let members = shared.members.borrow().alive();
+    let own_id = &shared.settings.member.id;
+    for peer in sources.candidates(own_id, &members, Instant::now()) {
+        match ask(shared, sources, &peer).await {
+            Ok(()) => return true,
+            Err(error) => {
+                log::info!(target: "fleet", "Host {} is not asked for a while: {error}.", peer.id);
+                sources.failed.insert(peer.id, Instant::now());
+            }
+        }
+    }
+    false
+}
+
+async fn ask<A: Adapter>(shared: &Shared<A>, sources: &mut Sources, peer: &Member) -> Result<()> {
+    let call = NewsCall {
+        protocol_version: PROTOCOL_VERSION,
+        epoch: sources.epoch,
+        after: sources.after,
+        wait_ms: u32::try_from(NEWS_WAIT.as_millis()).unwrap_or(u32::MAX),
+    };
+    let deadline = Instant::now() + NEWS_WAIT + NEWS_SLACK;
+    let lost = |detail: &str| Error::new(Kind::HostLost, detail.to_owned());
+    let asked = peer::ask_news(shared, peer.peer_addr, call, deadline);
+    let reply = timeout(NEWS_WAIT + NEWS_SLACK, asked).await;
+    let reply = reply.map_err(|_| lost("no answer in time"))??;
+    let age = Duration::from_millis(reply.age_ms.into());
+    if age > MAX_AGE {
+        return Err(lost(&format!("its knowledge is {} ms old", reply.age_ms)));
+    }
+    (sources.epoch, sources.after) = (reply.epoch, reply.last);
+    take(shared, reply);
+    let read_at = Instant::now().checked_sub(age);
+    shared
+        .catalog
+        .borrow_mut()
+        .on_read(read_at.unwrap_or_else(Instant::now));
+    Ok(())
+}
+
+fn take<A: Adapter>(shared: &Shared<A>, reply: NewsReply) {
+    let events = reply.items.into_iter().map(key_event);
+    if !reply.is_full {
+        events.for_each(|event| apply::event(shared, &event));
+        return;
+    }
+    let items = events.filter_map(|event| match event {
+        KeyEvent::Written(item) => Some(item),
+        KeyEvent::Removed(_) => None,
+    });
+    let items: Vec<Item> = items.collect();
+    for prefix in [
+        apply::HOST_PREFIX,
+        A::Layout::CONFIG_KEY,
+        A::Layout::SERVER_PREFIX,
+    ] {
+        let of_prefix = items.iter().filter(|item| item.key.starts_with(prefix));
+        apply::listing(shared, prefix, of_prefix.cloned().collect());
+    }
+}
+
+fn key_event(item: WireItem) -> KeyEvent {
+    match item.value {
+        Some(value) => KeyEvent::Written(Item {
+            key: item.key,
+            bytes: value.into(),
+        }),
+        None => KeyEvent::Removed(item.key),
+    }
+}
--- /dev/null
+++ b/crates/process/gateway/src/relay.rs
@@ -0,0 +1,426 @@
+//! Parts of a query that a host near their servers asks for.
+//!
+//! Bytes between regions are dear and slow: in place of a call to each far
+//! server goes one to a host there, which asks the servers, merges their
+//! records and sends back what is left of them with the proofs.
+
+use {
+    crate::{
+        adapter::Reply,
+        answer::Piece,
+        call::CallEnd,
+        exchange::{Failed, Outgoing},
+        peer::{self, GatherCall, GatherReply, PROTOCOL_VERSION},
+        serve::Job,
+        shared::Shared,
+        view::Via,
+        Adapter, Protocol,
+    },
+    bytes::Bytes,
+    fleet::{relay_set, Choice, Member, Outcome, Phase},
+    http::{HeaderName, HeaderValue, Method, Request, Uri},
+    kind::{Error, Kind, Ran, Result},
+    plan::Reason,
+    record::HostId,
+    routing::{Route, ServiceName, Table, Target},
+    scatter::{greatest_records, Bundle, Call, Failure, Plan},
+    std::{
+        collections::HashMap,
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        select,
+        sync::{mpsc::UnboundedSender, oneshot},
+        task::spawn_local,
+        time::{sleep, sleep_until},
+    },
+};
+
+/// Number of a host that relays, unique within the process.
+pub(crate) type RelayKey = u32;
+
+/// Hosts of a region that relay. Few of them keep the connections to servers
+/// in use and see each server's state; two may be lost at the same time.
+const RELAYS_PER_REGION: usize = 3;
+/// Time for which the rest of a reply is kept for a peer that comes for it.
+const REST_MEMORY: Duration = Duration::from_millis(200);
+/// Round trip to a relay until one is measured, a usual figure between regions.
+const ROUND_TRIP: Duration = Duration::from_millis(25);
+/// Time for which an answer waits in the processes on its way.
+const WAY_SLACK: Duration = Duration::from_millis(2);
+/// Time beyond the agreed one after which a relay counts as failed.
+const REPLY_SLACK: Duration = Duration::from_millis(60);
+
+/// What is known of the hosts that relay.
+#[derive(Default)]
+pub(crate) struct Relays {
+    keys: HashMap<HostId, RelayKey>,
+    members: Vec<Member>,
+    choice: Choice,
+    /// What is still to come of replies of this host.
+    rests: HashMap<u64, oneshot::Receiver<GatherReply>>,
+}
+
+impl Relays {
+    /// Chooses a relay in `region`, or none if all failed a moment ago.
+    pub(crate) fn choose(
+        &mut self,
+        region: &str,
+        own: &Member,
+        members: &[Member],
+        now: Instant,
+    ) -> Option<RelayKey> {
+        let near = members.iter().filter(|member| member.region == region);
+        let near: Vec<Member> = near.cloned().collect();
+        let set = relay_set(region, &near, RELAYS_PER_REGION);
+        let set: Vec<Member> = set.into_iter().cloned().collect();
+        let order = self.choice.order(&set, own, now, &mut rand::rng());
+        let relay = (*order.first()?).clone();
+        if self.choice.has_failed(&relay, now) {
+            return None;
+        }
+        Some(self.key(relay))
+    }
+
+    fn key(&mut self, member: Member) -> RelayKey {
+        if let Some(key) = self.keys.get(&member.id).copied() {
+            if let Some(known) = self.members.get_mut(key as usize) {
+                *known = member;
+            }
+            return key;
+        }
+        let key = RelayKey::try_from(self.members.len()).unwrap_or(RelayKey::MAX);
+        self.keys.insert(member.id.clone(), key);
+        self.members.push(member);
+        key
+    }
+}
+
+impl<A: Adapter> Shared<A> {
+    /// Chooses a relay in `region`, if there is one that works.
+    pub(crate) fn choose_relay(&self, region: &str, now: Instant) -> Option<RelayKey> {
+        let members = self.members.borrow().alive();
+        let mut relays = self.relays.borrow_mut();
+        relays.choose(region, &self.settings.member, &members, now)
+    }
+}
+
+/// The calls of one query that go to the same relay.
+pub(crate) struct Relayed {
+    pub(crate) relay: RelayKey,
+    pub(crate) calls: Vec<Call<Via>>,
+    pub(crate) table_version: u64,
+    pub(crate) answer_at: Instant,
+}
+
+/// Asks a relay and sends what it brings to the query, if that still waits.
+pub(crate) async fn ask<A: Adapter>(
+    shared: Rc<Shared<A>>,
+    route: Arc<Route>,
+    mut relayed: Relayed,
+    outgoing: Rc<Outgoing>,
+    ends: UnboundedSender<CallEnd>,
+) {
+    let member = shared.relays.borrow().members[relayed.relay as usize].clone();
+    shared.relays.borrow_mut().choice.on_sent(&member.id);
+    let first_by = relayed.answer_at + REPLY_SLACK;
+    let round_trip = shared.peers.borrow().round_trip(member.peer_addr);
+    let way = round_trip.unwrap_or(ROUND_TRIP) + WAY_SLACK;
+    let call = gather_call::<A>(&route, &relayed, &outgoing, way);
+    let addr = member.peer_addr;
+    let reply = select! {
+        reply = peer::ask_parts(&shared, addr, call, outgoing.deadline) => Some(reply),
+        () = sleep_until(first_by.into()) => Some(Err(silent(&member))),
+        () = ends.closed() => None,
+    };
+    let rest = reply.as_ref().and_then(|reply| reply.as_ref().ok()?.rest);
+    let outcome = match &reply {
+        Some(Err(error)) if error.kind() == Kind::HostLost => Outcome::Failed,
+        Some(_) => Outcome::Answered,
+        None => Outcome::Dropped,
+    };
+    let now = Instant::now();
+    shared
+        .relays
+        .borrow_mut()
+        .choice
+        .on_done(&member.id, outcome, now);
+    deliver(&mut relayed, reply, &outgoing, &ends);
+    if let Some(number) = rest {
+        // Whatever is still missing comes late or not at all.
+        let rest = select! {
+            rest = peer::ask_rest(&shared, addr, number, outgoing.deadline) => Some(rest),
+            () = ends.closed() => None,
+        };
+        deliver(&mut relayed, rest, &outgoing, &ends);
+    }
+}
+
+fn silent(member: &Member) -> Error {
+    Error::new(Kind::HostLost, format!("{} does not answer", member.id))
+}
+
+/// Hands over what a relay brought, and tells of what it will not bring.
+fn deliver(
+    relayed: &mut Relayed,
+    reply: Option<Result<GatherReply>>,
+    outgoing: &Outgoing,
+    ends: &UnboundedSender<CallEnd>,
+) {
+    let (ran, has_rest) = match reply {
+        None => return,
+        Some(Ok(reply)) => {
+            let ran = if reply.may_have_run {
+                Ran::Unknown
+            } else {
+                Ran::No
+            };
+            let has_rest = reply.rest.is_some();
+            if let Some(end) = taken(relayed, reply) {
+                let _ = ends.send(end);
+            }
+            (ran, has_rest)
+        }
+        Some(Err(error)) => {
+            log::info!(target: "relay", "Query {} not relayed: {error}.", outgoing.ask.id());
+            (error.ran(), false)
+        }
+    };
+    if has_rest {
+        return;
+    }
+    for call in relayed.calls.drain(..) {
+        let failure = Failure {
+            reason: Reason::Lost,
+            ran,
+            has_arrived: ran != Ran::No,
+        };
+        let _ = ends.send((vec![call.attempt], Err(Failed::from(failure))));
+    }
+}
+
+/// Takes the parts of a reply, whose calls have ended with it.
+fn taken(relayed: &mut Relayed, reply: GatherReply) -> Option<CallEnd> {
+    let mut attempts = Vec::with_capacity(reply.proofs.len());
+    let mut proofs = Vec::with_capacity(reply.proofs.len());
+    for (position, proof) in &reply.proofs {
+        let position = usize::from(*position);
+        let call = relayed.calls.iter().find(|call| call.position == position);
+        let (Some(call), Ok(proof)) = (call, HeaderValue::from_bytes(proof)) else {
+            // Its records cannot be told from the others, so nothing of the reply is of use.
+            log::warn!(target: "relay", "A reply has parts that were not asked for.");
+            return None;
+        };
+        attempts.push(call.attempt);
+        proofs.push(proof);
+    }
+    relayed
+        .calls
+        .retain(|call| !attempts.contains(&call.attempt));
+    let records = Bytes::from(reply.records);
+    (!attempts.is_empty()).then_some((attempts, Ok(Piece::Relayed { proofs, records })))
+}
+
+fn gather_call<A: Adapter>(
+    route: &Route,
+    relayed: &Relayed,
+    outgoing: &Outgoing,
+    way: Duration,
+) -> GatherCall {
+    let now = Instant::now();
+    let answer_in = relayed.answer_at.saturating_duration_since(now);
+    let positions = relayed.calls.iter().map(|call| call.position);
+    let headers = outgoing.head.headers.iter();
+    let headers = headers.filter(|(name, _)| A::Protocol::is_relayed(name));
+    GatherCall {
+        protocol_version: PROTOCOL_VERSION,
+        table_version: relayed.table_version,
+        route: route.name.to_string(),
+        positions: positions.filter_map(|p| u16::try_from(p).ok()).collect(),
+        path: outgoing.head.uri.to_string(),
+        method: outgoing.head.method.to_string(),
+        headers: headers
+            .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
+            .collect(),
+        body: outgoing.body.to_vec(),
+        time_left_ms: millis(outgoing.deadline.saturating_duration_since(now)),
+        answer_in_ms: millis(answer_in.saturating_sub(way)),
+        is_extra: false,
+    }
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Asks servers near this host for the parts that a peer wants.
+///
+/// # Errors
+///
+/// Returns an error with `ran: no` if the peer has to ask for itself.
+pub(crate) async fn gather<A: Adapter>(
+    shared: &Rc<Shared<A>>,
+    call: GatherCall,
+) -> Result<GatherReply> {
+    let _in_flight = shared.life.hold();
+    if shared.life.phase() > Phase::Leaving {
+        return Err(Error::new(Kind::Draining, "the relay is leaving"));
+    }
+    let table = shared
+        .table()
+        .filter(|table| table.version() == call.table_version);
+    let table = table.ok_or_else(|| Error::new(Kind::UnknownVersion, "another one is in force"))?;
+    let route = table.route(&call.route).cloned();
+    let route = route.ok_or_else(|| Error::new(Kind::UnknownRoute, call.route.clone()))?;
+    let Target::Shards(set) = &route.target else {
+        return Err(Error::new(Kind::UnknownRoute, "the route has no shards"));
+    };
+    let now = Instant::now();
+    let deadline = now + Duration::from_millis(call.time_left_ms.into());
+    let answer_at = now + Duration::from_millis(call.answer_in_ms.into());
+    let positions = call.positions.iter().map(|position| usize::from(*position));
+    let services: Option<Vec<ServiceName>> = positions
+        .map(|position| set.services.get(position).cloned())
+        .collect();
+    let services = services.ok_or_else(|| Error::new(Kind::BadPeer, "there are fewer shards"))?;
+    let gathering = Gathering {
+        keep_records: set.keep_records,
+        positions: call.positions.clone(),
+        outgoing: Rc::new(outgoing::<A>(call, deadline)?),
+        table,
+        route: Arc::clone(&route),
+        services,
+        answer_at: answer_at.min(deadline),
+        deadline,
+    };
+    let (first, first_end) = oneshot::channel();
+    let (rest, rest_end) = oneshot::channel();
+    spawn_local(gathering.run(Rc::clone(shared), first, rest));
+    let mut reply = first_end
+        .await
+        .map_err(|_| Error::new(Kind::Internal, "no end"))?;
+    if reply.rest.is_some() {
+        let number = shared.next_call();
+        reply.rest = Some(number);
+        shared.relays.borrow_mut().rests.insert(number, rest_end);
+        let shared = Rc::clone(shared);
+        spawn_local(async move {
+            sleep(REST_MEMORY).await;
+            shared.relays.borrow_mut().rests.remove(&number);
+        });
+    }
+    Ok(reply)
+}
+
+/// Waits for the parts that were missing from a reply of this host.
+///
+/// # Errors
+///
+/// Returns [`Kind::NotFound`] if nothing is kept under `number`.
+pub(crate) async fn rest<A: Adapter>(shared: &Rc<Shared<A>>, number: u64) -> Result<GatherReply> {
+    let _in_flight = shared.life.hold();
+    let gone = || Error::new(Kind::NotFound, "the rest is gone").with_ran(Ran::Unknown);
+    let end = shared.relays.borrow_mut().rests.remove(&number);
+    end.ok_or_else(gone)?.await.map_err(|_| gone())
+}
+
+/// The parts of a query that this host asks for in place of a peer.
+struct Gathering {
+    table: Arc<Table>,
+    route: Arc<Route>,
+    outgoing: Rc<Outgoing>,
+    services: Vec<ServiceName>,
+    /// Position of each part within the route.
+    positions: Vec<u16>,
+    keep_records: usize,
+    answer_at: Instant,
+    deadline: Instant,
+}
+
+impl Gathering {
+    /// Sends what there is in time, and what comes late after it, while somebody waits.
+    async fn run<A: Adapter>(
+        self,
+        shared: Rc<Shared<A>>,
+        first: oneshot::Sender<GatherReply>,
+        mut rest: oneshot::Sender<GatherReply>,
+    ) {
+        let job = Job {
+            shared: &shared,
+            table: &self.table,
+            route: &self.route,
+            outgoing: &self.outgoing,
+            relayed_for: None,
+        };
+        let plan = Plan {
+            deadline: self.deadline,
+            answer_at: self.deadline,
+            in_time_until: self.deadline,
+            late_answer_at: self.deadline,
+            // The peer knows what is enough, over the parts of all relays.
+            min_share: 0.0,
+            max_attempts: self.route.max_attempts,
+            is_repeatable: true,
+            hedge_after: Some(crate::serve::HEDGE_AFTER),
+            hedge_until: Some(self.answer_at),
+        };
+        let mut running = job.begin(plan, &self.services);
+        let has_ended = running.run(&job, Some(self.answer_at)).await;
+        let reply = self.reply(running.query.take_bundles(), !has_ended);
+        if first.send(reply).is_err() || has_ended {
+            return;
+        }
+        select! {
+            _ = running.run(&job, None) => {}
+            () = rest.closed() => return,
+        }
+        let reply = self.reply(running.query.take_bundles(), false);
+        // Nobody may wait any more.
+        let _ = rest.send(reply);
+    }
+
+    fn reply(&self, bundles: Vec<Bundle<Piece>>, has_rest: bool) -> GatherReply {
+        let mut proofs = Vec::with_capacity(bundles.len());
+        let mut bodies = Vec::with_capacity(bundles.len());
+        for bundle in bundles {
+            let Piece::Own(Reply { word, body, .. }) = bundle.reply else {
+                continue;
+            };
+            if let (Some(proof), Some(index)) = (word.proof, bundle.positions.first()) {
+                proofs.push((self.positions[*index], proof.as_bytes().to_vec()));
+                bodies.push(body);
+            }
+        }
+        GatherReply {
+            proofs,
+            records: greatest_records(&bodies, self.keep_records).to_vec(),
+            may_have_run: true,
+            // The number is given once the reply goes out.
+            rest: has_rest.then_some(0),
+        }
+    }
+}
+
+fn outgoing<A: Adapter>(call: GatherCall, deadline: Instant) -> Result<Outgoing> {
+    let bad = |what: &str| Error::new(Kind::BadPeer, format!("the {what} cannot be read"));
+    let method: Method = call.method.parse().map_err(|_| bad("method"))?;
+    let uri: Uri = call.path.parse().map_err(|_| bad("path"))?;
+    let (mut head, ()) = Request::new(()).into_parts();
+    head.method = method;
+    head.uri = uri;
+    for (name, value) in &call.headers {
+        let name: HeaderName = name.parse().map_err(|_| bad("name of a header"))?;
+        let value = HeaderValue::from_bytes(value).map_err(|_| bad("value of a header"))?;
+        head.headers.append(name, value);
+    }
+    let ask = A::Protocol::read_ask(&head);
+    Ok(Outgoing {
+        head,
+        body: call.body.into(),
+        ask,
+        deadline,
+        needs_success: true,
+    })
+}
--- a/crates/process/gateway/src/run.rs
+++ b/crates/process/gateway/src/run.rs
@@ -1,7 +1,7 @@
 //! Start and end of a host.
 
 use {
-    crate::{follow, listen, membership, shared::Shared, Adapter, Settings},
+    crate::{listen, membership, news, peer, shared::Shared, Adapter, Settings},
     anyhow::{Context, Result},
     fleet::{LifeEvent, Phase},
     std::{
@@ -43,19 +43,19 @@
 pub async fn run<A: Adapter>(settings: Settings, keys: A::Keys) -> Result<RunningGateway<A>> {
     let callers = bind("callers", settings.caller_addr).await?;
     let balancer = bind("the balancer", settings.ready_addr).await?;
+    let peers = bind("peers", settings.member.peer_addr).await?;
     let (caller_addr, ready_addr) = (callers.local_addr()?, balancer.local_addr()?);
     let shared = Rc::new(Shared::<A>::new(settings, keys));
     log::info!(
         target: "host",
         "Host {} in {} listens on {caller_addr} (callers) and {ready_addr} (balancer).",
-        shared.settings.host_id, shared.settings.place.zone
+        shared.settings.member.id, shared.settings.member.zone
     );
     let tasks = vec![
         spawn_local(listen::serve_callers(Rc::clone(&shared), callers)),
         spawn_local(listen::serve_balancer(Rc::clone(&shared), balancer)),
-        spawn_local(follow::follow_config(Rc::clone(&shared))),
-        spawn_local(follow::follow_servers(Rc::clone(&shared))),
-        spawn_local(membership::follow_hosts(Rc::clone(&shared))),
+        spawn_local(peer::serve(Rc::clone(&shared), peers)),
+        spawn_local(news::follow(Rc::clone(&shared))),
         spawn_local(keep_up(Rc::clone(&shared))),
     ];
     Ok(RunningGateway {
@@ -76,6 +76,10 @@
     loop {
         sleep(UPKEEP_PAUSE).await;
         let now = Instant::now();
+        shared.on_members();
+        for key in shared.replicas.borrow_mut().take_gone(now) {
+            shared.connections.borrow_mut().forget(key);
+        }
         shared.connections.borrow_mut().close_expired(now);
         if let Some(before) = now.checked_sub(BUDGET_MEMORY) {
             shared.extras.borrow_mut().forget_unused(before);
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -3,11 +3,12 @@
 use {
     crate::{
         adapter::Reply,
-        answer::{self, Answer},
+        answer::{self, Answer, Piece},
         call::{self, CallEnd},
         exchange::Outgoing,
+        relay::{self, Relayed},
         shared::Shared,
-        view::View,
+        view::{Via, View},
         Adapter, Ask, Protocol,
     },
     bytes::Bytes,
@@ -17,7 +18,7 @@
     kind::{Error, Kind, Ran, Result},
     replica::ReplicaKey,
     routing::{Route, ServiceName, ShardSet, Table, Target},
-    scatter::{Action, Event, Outcome, PartEnd, Plan, Query},
+    scatter::{Action, Call, Cause, Event, Outcome, Plan, Query},
     std::{
         rc::Rc,
         sync::Arc,
@@ -34,8 +35,10 @@
 /// Time before a deadline at which the answer goes out, for its way to the
 /// caller and a late timer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(12);
+/// Part of that margin which an answer that is ready may still use.
+const IN_TIME_SLACK: Duration = Duration::from_millis(6);
 /// Least time by which a call is late before it is hedged.
-const HEDGE_AFTER: Duration = Duration::from_millis(15);
+pub(crate) const HEDGE_AFTER: Duration = Duration::from_millis(15);
 /// Time after which a caller may come back to a service that refuses: a few
 /// requests long.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -91,6 +94,7 @@
         table: &table,
         route: &route,
         outgoing: &outgoing,
+        relayed_for: None,
     };
     match &route.target {
         Target::One(service) => job.one(service, began).await,
@@ -132,11 +136,14 @@
     }
 }
 
-struct Job<'a, A: Adapter> {
-    shared: &'a Rc<Shared<A>>,
-    table: &'a Table,
-    route: &'a Route,
-    outgoing: &'a Rc<Outgoing>,
+/// One request with what it needs.
+pub(crate) struct Job<'a, A: Adapter> {
+    pub(crate) shared: &'a Rc<Shared<A>>,
+    pub(crate) table: &'a Table,
+    pub(crate) route: &'a Arc<Route>,
+    pub(crate) outgoing: &'a Rc<Outgoing>,
+    /// Time until relays answer with what they have, or `None` to go without.
+    pub(crate) relayed_for: Option<Duration>,
 }
 
 impl<A: Adapter> Job<'_, A> {
@@ -145,11 +152,13 @@
         let plan = Plan {
             deadline,
             answer_at: deadline,
+            in_time_until: deadline,
             late_answer_at: deadline,
             min_share: 1.0,
             max_attempts: self.route.max_attempts,
             is_repeatable: self.route.is_repeatable,
             hedge_after: None,
+            hedge_until: None,
         };
         let services = [service.clone()];
         let (outcome, own_failure) = self.ask(plan, &services).await;
@@ -158,37 +167,33 @@
             return Ok(answer::passed_on::<A>(reply));
         }
         let error = answer::shortfall(&outcome, RETRY_AFTER);
-        let part = outcome.parts.into_iter().next();
-        match part.map(|part| part.end) {
-            Some(PartEnd::Covered(reply)) => Ok(answer::passed_on::<A>(reply)),
+        let bundle = outcome.bundles.into_iter().next();
+        match bundle.map(|bundle| bundle.reply) {
+            Some(Piece::Own(reply)) => Ok(answer::passed_on::<A>(reply)),
             _ => Err(error),
         }
     }
 
-    async fn shards(&self, set: &ShardSet, began: Instant) -> Result<Answer> {
+    async fn shards(mut self, set: &ShardSet, began: Instant) -> Result<Answer> {
         let deadline = self.answer_by(began);
         let answer_at = began + self.route.target_latency.saturating_sub(ANSWER_MARGIN);
         let plan = Plan {
             deadline,
             answer_at: answer_at.min(deadline),
+            in_time_until: (answer_at + IN_TIME_SLACK).min(deadline),
             late_answer_at: (answer_at + self.route.target_latency).min(deadline),
             min_share: set.min_share,
             max_attempts: self.route.max_attempts,
             is_repeatable: self.route.is_repeatable,
             hedge_after: Some(HEDGE_AFTER),
+            hedge_until: None,
         };
+        self.relayed_for = Some(plan.answer_at.saturating_duration_since(began));
         let (outcome, _) = self.ask(plan, &set.services).await;
         if !outcome.is_enough {
             return Err(answer::shortfall(&outcome, RETRY_AFTER));
         }
-        let total = outcome.parts.len();
-        let covered = outcome.parts.into_iter().filter_map(|part| match part.end {
-            PartEnd::Covered(reply) => Some(reply),
-            PartEnd::Missing(_) => None,
-        });
-        let covered: Vec<Reply> = covered.collect();
-        let missing = total - covered.len();
-        Ok(answer::merged::<A>(covered, missing, set))
+        Ok(answer::merged::<A>(outcome, set))
     }
 
     fn answer_by(&self, began: Instant) -> Instant {
@@ -198,71 +203,137 @@
     }
 
     /// Runs a query to its end; the server's own failure comes beside it.
-    async fn ask(&self, plan: Plan, services: &[ServiceName]) -> (Outcome<Reply>, Option<Reply>) {
-        let (ends, mut arrivals) = unbounded_channel();
-        let now = Instant::now();
-        for service in services {
-            self.shared.extras.borrow_mut().on_first(service, now);
-        }
+    async fn ask(&self, plan: Plan, services: &[ServiceName]) -> (Outcome<Piece>, Option<Reply>) {
+        let mut running = self.begin(plan, services);
+        running.run(self, None).await;
+        (running.query.into_outcome(), running.own_failure)
+    }
+
+    /// Begins a query.
+    pub(crate) fn begin(&self, plan: Plan, services: &[ServiceName]) -> Running {
+        let (ends, arrivals) = unbounded_channel();
         let mut query = Query::new(plan, services);
-        let mut own_failure = None;
-        let mut actions = query.start(&mut self.view(), now);
-        while self.carry_out(actions, &ends) {
-            let event = next_event(&query, &mut arrivals).await;
-            let event = match event {
-                None => Event::Wake,
-                Some((attempt, Ok(reply))) => Event::Replied(attempt, reply),
-                Some((attempt, Err(failed))) => {
-                    own_failure = failed.reply.or(own_failure);
-                    Event::Failed(attempt, failed.failure)
-                }
-            };
-            actions = query.on_event(event, &mut self.view(), Instant::now());
-        }
-        (query.into_outcome(), own_failure)
+        let actions = query.start(&mut self.view(), Instant::now());
+        let mut running = Running {
+            query,
+            ends,
+            arrivals,
+            answer_at: plan.answer_at,
+            own_failure: None,
+            is_finished: false,
+        };
+        running.is_finished = !self.carry_out(actions, &running);
+        running
     }
 
     fn view(&self) -> View<'_, A> {
         View {
             shared: self.shared,
             typical_ms: self.shared.works.borrow().typical_ms(&self.route.name),
+            relayed_for: self.relayed_for,
+            max_attempts: self.route.max_attempts,
+            chosen: Vec::new(),
         }
     }
 
     /// Returns whether the query goes on.
-    fn carry_out(&self, actions: Vec<Action<ReplicaKey>>, ends: &UnboundedSender<CallEnd>) -> bool {
+    fn carry_out(&self, actions: Vec<Action<Via>>, running: &Running) -> bool {
+        let ends = &running.ends;
+        let mut relayed: Vec<Relayed> = Vec::new();
         for action in actions {
             match action {
                 Action::Finish => return false,
-                Action::Call(call) => {
-                    let limit = self.table.connection_limit(&call.service);
-                    spawn_local(call::run(
-                        Rc::clone(self.shared),
-                        Arc::clone(&self.route.name),
-                        limit,
-                        call,
-                        Rc::clone(self.outgoing),
-                        ends.clone(),
-                    ));
-                }
+                Action::Call(call) => match call.server {
+                    Via::Server(server) => self.call(call, server, ends),
+                    Via::Relay(relay) => match relayed.iter_mut().find(|r| r.relay == relay) {
+                        Some(known) => known.calls.push(call),
+                        None => relayed.push(Relayed {
+                            relay,
+                            calls: vec![call],
+                            table_version: self.table.version(),
+                            answer_at: running.answer_at,
+                        }),
+                    },
+                },
             }
         }
+        for relayed in relayed {
+            spawn_local(relay::ask(
+                Rc::clone(self.shared),
+                Arc::clone(self.route),
+                relayed,
+                Rc::clone(self.outgoing),
+                ends.clone(),
+            ));
+        }
         true
     }
+
+    fn call(&self, call: Call<Via>, server: ReplicaKey, ends: &UnboundedSender<CallEnd>) {
+        if call.cause == Cause::First {
+            let mut extras = self.shared.extras.borrow_mut();
+            extras.on_first(&call.service, Instant::now());
+        }
+        spawn_local(call::run(
+            Rc::clone(self.shared),
+            Arc::clone(&self.route.name),
+            self.table.connection_limit(&call.service),
+            call,
+            server,
+            Rc::clone(self.outgoing),
+            ends.clone(),
+        ));
+    }
 }
 
-/// Waits for the end of a call, or returns `None` when time has passed.
-async fn next_event(
-    query: &Query<ReplicaKey, Reply>,
-    arrivals: &mut UnboundedReceiver<CallEnd>,
-) -> Option<CallEnd> {
-    let Some(wake) = query.next_wake() else {
-        return arrivals.recv().await;
-    };
-    select! {
-        biased;
-        end = arrivals.recv() => end,
-        () = sleep_until(wake.into()) => None,
+/// A query with the calls that it waits for.
+pub(crate) struct Running {
+    pub(crate) query: Query<Via, Piece>,
+    ends: UnboundedSender<CallEnd>,
+    arrivals: UnboundedReceiver<CallEnd>,
+    answer_at: Instant,
+    own_failure: Option<Reply>,
+    is_finished: bool,
+}
+
+impl Running {
+    /// Runs the query until it ends, or until a time; returns whether it has ended.
+    pub(crate) async fn run<A: Adapter>(
+        &mut self,
+        job: &Job<'_, A>,
+        until: Option<Instant>,
+    ) -> bool {
+        while !self.is_finished {
+            if until.is_some_and(|until| Instant::now() >= until) {
+                return false;
+            }
+            let event = match self.next(until).await {
+                None => Event::Wake,
+                Some((attempts, Ok(piece))) => Event::Replied(attempts, piece),
+                Some((attempts, Err(failed))) => {
+                    self.own_failure = failed.reply.or(self.own_failure.take());
+                    // Failures come one by one.
+                    let attempt = attempts.first().copied().unwrap_or_default();
+                    Event::Failed(attempt, failed.failure)
+                }
+            };
+            let actions = self.query.on_event(event, &mut job.view(), Instant::now());
+            self.is_finished = !job.carry_out(actions, self);
+        }
+        true
+    }
+
+    /// Waits for the end of a call, or returns `None` when time has passed.
+    async fn next(&mut self, until: Option<Instant>) -> Option<CallEnd> {
+        let wake = [self.query.next_wake(), until].into_iter().flatten().min();
+        let Some(wake) = wake else {
+            return self.arrivals.recv().await;
+        };
+        select! {
+            biased;
+            end = self.arrivals.recv() => end,
+            () = sleep_until(wake.into()) => None,
+        }
     }
 }
 
--- a/crates/process/gateway/src/settings.rs
+++ b/crates/process/gateway/src/settings.rs
@@ -2,7 +2,8 @@
 
 use {
     anyhow::{ensure, Context, Error, Result},
-    record::{HostId, RegionId, ZoneId},
+    fleet::Member,
+    record::{RegionId, ZoneId},
     replica::Place,
     scatter::Allowance,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
@@ -27,6 +28,8 @@
     pub caller_addr: String,
     /// Address at which the balancer asks whether the host takes work.
     pub ready_addr: String,
+    /// Address for peers.
+    pub peer_addr: String,
     /// Address of the store.
     pub store_addr: String,
     /// Extra calls that a service bears for each request, from 0 to 1.
@@ -40,8 +43,8 @@
 /// Checked settings.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Name of the host.
-    pub host_id: HostId,
+    /// The host as its peers know it.
+    pub member: Member,
     /// Where the host stands.
     pub place: Place,
     /// Address for callers.
@@ -77,8 +80,15 @@
         ensure!(raw.shutdown_ms > 0, "the time for a shutdown is 0 ms");
         let shutdown = Duration::from_millis(raw.shutdown_ms);
         let max_drain = shutdown.mul_f64(DRAIN_SHARE);
+        let region = raw.regions.get(&raw.zone).cloned();
+        let region = region.with_context(|| format!("the zone {} has no region", raw.zone))?;
         Ok(Self {
-            host_id: raw.host_id,
+            member: Member {
+                id: raw.host_id,
+                peer_addr: addr("address for peers", &raw.peer_addr)?,
+                region,
+                zone: raw.zone.clone(),
+            },
             place: Place {
                 zone: raw.zone,
                 regions: raw
--- a/crates/process/gateway/src/shared.rs
+++ b/crates/process/gateway/src/shared.rs
@@ -1,7 +1,10 @@
 //! What the parts of a host share for the life of the process.
 
 use {
-    crate::{connections::Connections, Adapter, Settings},
+    crate::{
+        catalog::Catalog, connections::Connections, membership::Members, peer::Peers,
+        relay::Relays, Adapter, Settings,
+    },
     fleet::LifeEvent,
     life::LifeWatch,
     replica::{Replicas, Works},
@@ -10,7 +13,9 @@
     std::{
         cell::{Cell, RefCell},
         sync::Arc,
+        time::Instant,
     },
+    tokio::sync::Notify,
 };
 
 /// State of a host that lives as long as its process.
@@ -27,6 +32,11 @@
     pub(crate) extras: RefCell<Extras>,
     pub(crate) splits: RefCell<Splits>,
     pub(crate) connections: RefCell<Connections>,
+    pub(crate) members: RefCell<Members>,
+    pub(crate) peers: RefCell<Peers>,
+    pub(crate) relays: RefCell<Relays>,
+    pub(crate) catalog: RefCell<Catalog>,
+    pub(crate) has_news: Notify,
     pub(crate) hosts: Cell<usize>,
     pub(crate) has_servers: Cell<bool>,
     last_call: Cell<u64>,
@@ -43,6 +53,11 @@
             extras: RefCell::new(Extras::new(settings.allowance, 1)),
             splits: RefCell::default(),
             connections: RefCell::default(),
+            members: RefCell::default(),
+            peers: RefCell::default(),
+            relays: RefCell::default(),
+            catalog: RefCell::default(),
+            has_news: Notify::new(),
             hosts: Cell::new(1),
             has_servers: Cell::new(false),
             last_call: Cell::new(0),
@@ -61,6 +76,20 @@
         self.last_call.get()
     }
 
+    /// Takes a change in the list of hosts.
+    pub(crate) fn on_members(&self) {
+        let count = self.members.borrow_mut().count(Instant::now());
+        if self.hosts.replace(count) != count {
+            self.extras.borrow_mut().set_hosts(count);
+            log::info!(target: "fleet", "{count} hosts are counted.");
+        }
+    }
+
+    /// Returns whether this host knows what stands in the store, or did a moment ago.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.catalog.borrow().age(Instant::now()).is_some()
+    }
+
     /// Lets the host take work once it knows configuration and servers.
     pub(crate) fn check_ready(&self) {
         if self.table.borrow().is_some() && self.has_servers.get() {
--- a/crates/request/scatter/src/lib.rs
+++ b/crates/request/scatter/src/lib.rs
@@ -19,8 +19,6 @@
     extras::{Allowance, Extras},
     merge::{greatest_records, RECORD_BYTES},
     plan::Plan,
-    query::{
-        Action, Call, Candidate, Cause, Event, Failure, Outcome, Part, PartEnd, Query, Replicas,
-    },
+    query::{Action, Bundle, Call, Candidate, Cause, Event, Failure, Outcome, Query, Replicas},
     split::Splits,
 };
--- a/crates/request/scatter/src/plan.rs
+++ b/crates/request/scatter/src/plan.rs
@@ -9,7 +9,9 @@
     pub deadline: Instant,
     /// Time at which a query that covers the least share answers, though parts are missing.
     pub answer_at: Instant,
-    /// The same once `answer_at` has passed without the least share.
+    /// Time until which an answer is still in time, if it goes out at once.
+    pub in_time_until: Instant,
+    /// The same as `answer_at` for a query that is late.
     pub late_answer_at: Instant,
     /// Least share of parts that a success covers, from 0 to 1.
     pub min_share: f64,
@@ -19,6 +21,8 @@
     pub is_repeatable: bool,
     /// Least time after which a slow call is hedged; `None` for no hedges.
     pub hedge_after: Option<Duration>,
+    /// Time by which a hedge has to answer; `None` for the time of the answer.
+    pub hedge_until: Option<Instant>,
 }
 
 impl Plan {
--- a/crates/request/scatter/src/query.rs
+++ b/crates/request/scatter/src/query.rs
@@ -53,6 +53,9 @@
 
     /// Spends one call beyond the first, if the budget of the service allows it.
     fn take_extra(&mut self, service: &ServiceName, now: Instant) -> bool;
+
+    /// Returns the number of servers that a service has.
+    fn servers(&self, service: &ServiceName) -> usize;
 }
 
 /// A server that a call may go to.
@@ -64,6 +67,8 @@
     pub expected: Duration,
     /// Whether it has a free slot, so that the call delays no other.
     pub is_free: bool,
+    /// Most servers that the call may reach: more than one where a relay makes it.
+    pub reaches: usize,
 }
 
 /// One call to one server.
@@ -71,6 +76,8 @@
 pub struct Call<K> {
     /// Number of the call within the request.
     pub attempt: AttemptId,
+    /// Position of the part among those of the request.
+    pub position: usize,
     /// Why the call is made.
     pub cause: Cause,
     /// Service of the part.
@@ -95,8 +102,8 @@
 /// What happened to a request.
 #[derive(Clone, Debug)]
 pub enum Event<R> {
-    /// A call brought what it was made for.
-    Replied(AttemptId, R),
+    /// One reply brought what these calls were made for.
+    Replied(Vec<AttemptId>, R),
     /// A call failed.
     Failed(AttemptId, Failure),
     /// Time has passed.
@@ -112,46 +119,51 @@
     Finish,
 }
 
-/// The end of one part.
-#[derive(Clone, Debug, PartialEq)]
-pub enum PartEnd<R> {
-    /// What the part brought.
-    Covered(R),
-    /// Why the part brought nothing.
-    Missing(Reason),
-}
-
-/// One part with its end.
+/// A reply with the parts that it covers.
 #[derive(Clone, Debug)]
-pub struct Part<R> {
-    /// Service of the part.
-    pub service: ServiceName,
-    /// Its end.
-    pub end: PartEnd<R>,
+pub struct Bundle<R> {
+    /// Positions of the parts, each of which stands in no other bundle.
+    pub positions: Vec<usize>,
+    /// The reply.
+    pub reply: R,
 }
 
 /// The end of a request.
 #[derive(Clone, Debug)]
 pub struct Outcome<R> {
-    /// Every part of the request with its end.
-    pub parts: Vec<Part<R>>,
+    /// Number of parts.
+    pub parts: usize,
+    /// Replies that cover parts.
+    pub bundles: Vec<Bundle<R>>,
+    /// Parts that nothing covers, and why.
+    pub missing: Vec<(ServiceName, Reason)>,
     /// Whether the request was executed anywhere.
     pub ran: Ran,
     /// Whether enough parts are covered.
     pub is_enough: bool,
 }
 
+#[derive(Clone, Copy, Debug)]
+enum End {
+    /// The bundle with this index covers the part.
+    Covered(usize),
+    Missing(Reason),
+}
+
 #[derive(Debug)]
 struct Open {
     attempt: AttemptId,
+    reaches: usize,
     hedge_at: Option<Instant>,
 }
 
 #[derive(Debug)]
-struct Work<K, R> {
+struct Work<K> {
     service: ServiceName,
-    end: Option<PartEnd<R>>,
+    end: Option<End>,
     tried: Vec<K>,
+    /// Most servers that the calls so far may have reached.
+    reached: usize,
     open: Vec<Open>,
 }
 
@@ -159,7 +171,9 @@
 #[derive(Debug)]
 pub struct Query<K, R> {
     plan: Plan,
-    works: Vec<Work<K, R>>,
+    works: Vec<Work<K>>,
+    /// Replies taken; one that a better one replaced leaves a gap.
+    bundles: Vec<Option<Bundle<R>>>,
     covered: usize,
     waiting: usize,
     next_attempt: AttemptId,
@@ -178,6 +192,7 @@
                 service: service.clone(),
                 end: None,
                 tried: Vec::new(),
+                reached: 0,
                 open: Vec::new(),
             })
             .collect();
@@ -186,6 +201,7 @@
             covered: 0,
             waiting: works.len(),
             works,
+            bundles: Vec::new(),
             next_attempt: 1,
             ran: Ran::No,
             enough_at: None,
@@ -228,7 +244,7 @@
             return actions;
         }
         match event {
-            Event::Replied(attempt, reply) => self.on_reply(attempt, reply, now),
+            Event::Replied(attempts, reply) => self.on_reply(&attempts, reply, now),
             Event::Failed(attempt, failure) => {
                 self.on_failure(attempt, failure, view, now, &mut actions);
             }
@@ -251,7 +267,7 @@
     /// Returns when the query ends if nothing more arrives.
     fn answer_at(&self) -> Instant {
         let at = match self.enough_at {
-            Some(at) if at <= self.plan.answer_at => self.plan.answer_at,
+            Some(at) if at <= self.plan.in_time_until => self.plan.answer_at,
             // The answer is late, so that a whole one is worth more waiting.
             Some(_) => self.plan.late_answer_at,
             None => self.plan.deadline,
@@ -259,17 +275,31 @@
         at.min(self.plan.deadline)
     }
 
+    /// Takes the replies that have come since the last time, for an answer in steps.
+    pub fn take_bundles(&mut self) -> Vec<Bundle<R>> {
+        self.bundles.iter_mut().filter_map(Option::take).collect()
+    }
+
+    /// Returns whether parts are neither covered nor missing.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting > 0
+    }
+
     /// Returns the end of the request, once [`Action::Finish`] has been given.
     pub fn into_outcome(self) -> Outcome<R> {
-        let parts_len = self.works.len();
-        let parts = self.works.into_iter().map(|work| Part {
-            service: work.service,
-            end: work.end.unwrap_or(PartEnd::Missing(Reason::NotAwaited)),
+        let is_enough = self.plan.is_enough(self.covered, self.works.len());
+        let parts = self.works.len();
+        let missing = self.works.into_iter().filter_map(|work| match work.end {
+            Some(End::Covered(_)) => None,
+            Some(End::Missing(reason)) => Some((work.service, reason)),
+            None => Some((work.service, Reason::NotAwaited)),
         });
         Outcome {
-            parts: parts.collect(),
+            parts,
+            missing: missing.collect(),
+            bundles: self.bundles.into_iter().flatten().collect(),
             ran: self.ran,
-            is_enough: self.plan.is_enough(self.covered, parts_len),
+            is_enough,
         }
     }
 
@@ -281,7 +311,10 @@
         now: Instant,
     ) -> Action<K> {
         let Candidate {
-            server, expected, ..
+            server,
+            expected,
+            reaches,
+            ..
         } = candidate;
         let attempt = self.next_attempt;
         self.next_attempt += 1;
@@ -289,14 +322,16 @@
         if !work.tried.contains(&server) {
             work.tried.push(server);
         }
-        let may_hedge = self.plan.is_repeatable && work.tried.len() < self.plan.max_attempts;
-        let least = self.plan.hedge_after.filter(|_| may_hedge);
+        work.reached += reaches;
+        let least = self.plan.hedge_after.filter(|_| self.plan.is_repeatable);
         work.open.push(Open {
             attempt,
+            reaches,
             hedge_at: least.map(|least| now + expected.mul_f64(HEDGE_FACTOR).max(expected + least)),
         });
         Action::Call(Call {
             attempt,
+            position,
             cause,
             service: work.service.clone(),
             server,
@@ -304,31 +339,64 @@
         })
     }
 
-    /// Ends a call, and returns the position of its part.
-    fn close(&mut self, attempt: AttemptId) -> Option<usize> {
-        let is_of = |work: &Work<K, R>| work.open.iter().any(|open| open.attempt == attempt);
+    /// Ends a call, and returns the position of its part and the servers it may have reached.
+    fn close(&mut self, attempt: AttemptId) -> Option<(usize, usize)> {
+        let is_of = |work: &Work<K>| work.open.iter().any(|open| open.attempt == attempt);
         let position = self.works.iter().position(is_of)?;
-        let work = &mut self.works[position];
-        work.open.retain(|open| open.attempt != attempt);
-        Some(position)
+        let open = &mut self.works[position].open;
+        let index = open.iter().position(|open| open.attempt == attempt)?;
+        Some((position, open.swap_remove(index).reaches))
     }
 
-    fn on_reply(&mut self, attempt: AttemptId, reply: R, now: Instant) {
+    fn on_reply(&mut self, attempts: &[AttemptId], reply: R, now: Instant) {
         self.ran = Ran::Yes;
-        let Some(position) = self.close(attempt) else {
-            return;
-        };
-        let work = &mut self.works[position];
-        if work.end.is_none() {
-            work.end = Some(PartEnd::Covered(reply));
-            self.covered += 1;
-            self.waiting -= 1;
+        let closed = attempts.iter().filter_map(|attempt| self.close(*attempt));
+        let positions: Vec<usize> = closed.map(|(position, _)| position).collect();
+        if !positions.is_empty() {
+            self.cover(positions, reply);
         }
         if self.enough_at.is_none() && self.plan.is_enough(self.covered, self.works.len()) {
             self.enough_at = Some(now);
         }
     }
 
+    /// Takes a reply, unless parts of it are covered already and it adds none.
+    ///
+    /// A reply for several parts is merged and cannot be taken in part: it
+    /// stands in place of the others if it covers all of theirs and more, and
+    /// is dropped otherwise, so that no record counts twice.
+    fn cover(&mut self, positions: Vec<usize>, reply: R) {
+        let ends = positions.iter().map(|position| self.works[*position].end);
+        let mut replaced: Vec<usize> = ends
+            .filter_map(|end| match end {
+                Some(End::Covered(index)) => Some(index),
+                _ => None,
+            })
+            .collect();
+        replaced.sort_unstable();
+        replaced.dedup();
+        let held = replaced
+            .iter()
+            .filter_map(|index| self.bundles[*index].as_ref());
+        let held: Vec<usize> = held.flat_map(|bundle| bundle.positions.clone()).collect();
+        let has_all = held.iter().all(|position| positions.contains(position));
+        if !has_all || held.len() >= positions.len() {
+            return;
+        }
+        for index in replaced {
+            self.bundles[index] = None;
+        }
+        for position in &positions {
+            let work = &mut self.works[*position];
+            if work.end.is_none() {
+                self.waiting -= 1;
+            }
+            work.end = Some(End::Covered(self.bundles.len()));
+        }
+        self.covered += positions.len() - held.len();
+        self.bundles.push(Some(Bundle { positions, reply }));
+    }
+
     fn on_failure<V>(
         &mut self,
         attempt: AttemptId,
@@ -342,10 +410,14 @@
         if failure.ran != Ran::No {
             self.ran = self.ran.and(failure.ran);
         }
-        let Some(position) = self.close(attempt) else {
+        let Some((position, reaches)) = self.close(attempt) else {
             return;
         };
         let work = &mut self.works[position];
+        if failure.ran == Ran::No {
+            // It may have arrived, but none of the servers has run it.
+            work.reached -= reaches;
+        }
         if work.end.is_some() || !work.open.is_empty() {
             return;
         }
@@ -366,10 +438,10 @@
         V: Replicas<Key = K>,
     {
         let is_allowed = self.plan.is_repeatable || failure.ran == Ran::No;
-        let work = &self.works[position];
-        if !is_allowed || work.tried.len() >= self.plan.max_attempts || now >= self.plan.deadline {
+        if !is_allowed || now >= self.plan.deadline || !self.has_attempts(position, view) {
             return None;
         }
+        let work = &self.works[position];
         let picked = view.pick(&work.service, &work.tried, now)?;
         // A call that never reached a server costs the servers nothing.
         (!failure.has_arrived || view.take_extra(&work.service, now)).then_some(picked)
@@ -406,12 +478,13 @@
     ) where
         V: Replicas<Key = K>,
     {
-        let work = &self.works[position];
-        if work.tried.len() >= self.plan.max_attempts {
+        if !self.has_attempts(position, view) {
             return;
         }
-        let answer_at = if now < self.plan.answer_at {
-            self.plan.answer_at
+        let work = &self.works[position];
+        let in_time = self.plan.hedge_until.unwrap_or(self.plan.answer_at);
+        let answer_at = if now < in_time {
+            in_time
         } else {
             self.plan.deadline
         };
@@ -433,8 +506,19 @@
         }
     }
 
+    /// Returns whether one more server keeps within the most that a part may reach.
+    fn has_attempts<V>(&self, position: usize, view: &V) -> bool
+    where
+        V: Replicas<Key = K>,
+    {
+        let work = &self.works[position];
+        work.reached < self.plan.max_attempts
+            || (work.tried.len() < self.plan.max_attempts
+                && view.servers(&work.service) <= self.plan.max_attempts)
+    }
+
     fn lose(&mut self, position: usize, reason: Reason) {
-        self.works[position].end = Some(PartEnd::Missing(reason));
+        self.works[position].end = Some(End::Missing(reason));
         self.waiting -= 1;
     }
 
@@ -463,7 +547,7 @@
                 } else {
                     Reason::NotAwaited
                 };
-                work.end = Some(PartEnd::Missing(reason));
+                work.end = Some(End::Missing(reason));
             }
         }
     }
--- a/crates/version/routing/src/table.rs
+++ b/crates/version/routing/src/table.rs
@@ -68,6 +68,11 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Returns the route of a name.
+    pub fn route(&self, name: &str) -> Option<&Arc<Route>> {
+        self.routes().find(|route| &*route.name == name)
+    }
+
     /// Returns all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.by_hostname.values().flatten()
