Let the strongest hosts of a zone relay, each for services of its own

Change: hosts list their share of a core; relays are the strongest of each zone, and each service has one there that all hosts use while it works. Where every host can hold connections to every server, hosts stay their own relays, as before.

--- a/crates/process/gateway/src/apply.rs
+++ b/crates/process/gateway/src/apply.rs
@@ -1,8 +1,7 @@
 //! What a change in the store means for this host.
 
 use {
-    crate::{shared::Shared, Adapter, Layout},
-    fleet::Member,
+    crate::{membership::ListedHost, shared::Shared, Adapter, Layout},
     replica::{Arrival, ServerId},
     routing::Table,
     std::{collections::HashSet, sync::Arc, time::Instant},
@@ -51,10 +50,12 @@
         return learn(shared, id.into(), item);
     }
     item.key.strip_prefix(HOST_PREFIX)?;
-    match serde_json::from_slice::<Member>(&item.bytes) {
-        Ok(member) => {
-            let is_news = shared.members.borrow_mut().list(member);
-            shared.on_members();
+    match serde_json::from_slice::<ListedHost>(&item.bytes) {
+        Ok(host) => {
+            let is_news = shared.members.borrow_mut().list(host);
+            if is_news {
+                shared.on_members();
+            }
             Some(is_news)
         }
         Err(error) => {
--- a/crates/process/gateway/src/call.rs
+++ b/crates/process/gateway/src/call.rs
@@ -37,7 +37,7 @@
 pub(crate) async fn run<A: Adapter>(
     shared: Rc<Shared<A>>,
     route: Arc<str>,
-    limit: u32,
+    share: u32,
     call: Call<Via>,
     server: ReplicaKey,
     outgoing: Rc<Outgoing>,
@@ -57,7 +57,7 @@
     };
     let left = outgoing.deadline.saturating_duration_since(began) + LATE_SLACK;
     let ended = select! {
-        ended = exchange::run(&shared, server, limit, &outgoing) => Some(ended),
+        ended = exchange::run(&shared, server, share, &outgoing) => Some(ended),
         () = async { ends.closed().await; sleep(LINGER).await } => None,
         () = sleep(left) => None,
     };
--- a/crates/process/gateway/src/connections.rs
+++ b/crates/process/gateway/src/connections.rs
@@ -6,7 +6,7 @@
     http_body_util::Full,
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
-    link::{connection_share, Checkout, Lease, Pool, PoolConfig},
+    link::{Checkout, Lease, Pool, PoolConfig},
     record::ServerAddr,
     replica::ReplicaKey,
     socket2::{SockRef, TcpKeepalive},
@@ -121,17 +121,16 @@
     }
 }
 
-/// Gets a connection to a server until `deadline`.
+/// Gets one of at most `share` connections to a server until `deadline`.
 pub(crate) async fn acquire<A: Adapter>(
     shared: &Shared<A>,
     key: ReplicaKey,
-    limit: u32,
+    share: u32,
     deadline: Instant,
 ) -> Result<Lease<Connection>, NoConnection> {
     let addr = shared.replicas.borrow().entry(key).map(|entry| entry.addr);
     let addr = addr.ok_or(NoConnection::Unreachable)?;
     loop {
-        let share = connection_share(limit, shared.hosts.get());
         let now = Instant::now();
         let (checkout, returned) = {
             let mut connections = shared.connections.borrow_mut();
--- a/crates/process/gateway/src/exchange.rs
+++ b/crates/process/gateway/src/exchange.rs
@@ -71,11 +71,11 @@
 pub(crate) async fn run<A: Adapter>(
     shared: &Shared<A>,
     key: ReplicaKey,
-    limit: u32,
+    share: u32,
     outgoing: &Outgoing,
 ) -> Ended {
     for _ in 0..MAX_STALE_CONNECTIONS {
-        let lease = connections::acquire(shared, key, limit, outgoing.deadline).await;
+        let lease = connections::acquire(shared, key, share, outgoing.deadline).await;
         let lease = match lease {
             Ok(lease) => lease,
             Err(why) => return without_connection(why),
--- a/crates/process/gateway/src/membership.rs
+++ b/crates/process/gateway/src/membership.rs
@@ -8,6 +8,7 @@
     bytes::Bytes,
     fleet::{Member, Phase},
     record::HostId,
+    serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
         rc::Rc,
@@ -68,16 +69,30 @@
         return Ok(is_held.then_some(lease));
     }
     let lease = shared.keys.grant(LEASE_TIME).await?;
-    let value = serde_json::to_vec(own).map_err(|e| Fault::Unreachable(e.to_string()))?;
+    let host = ListedHost {
+        member: own.clone(),
+        cpu_millis: shared.settings.cpu_millis,
+    };
+    let value = serde_json::to_vec(&host).map_err(|e| Fault::Unreachable(e.to_string()))?;
     let key = format!("{HOST_PREFIX}{}", own.id);
     let is_written = shared.keys.write(&key, Bytes::from(value), lease).await?;
     log::info!(target: "fleet", "This host is listed under lease {lease}.");
     Ok(is_written.then_some(lease))
 }
 
+/// A host as it lists itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct ListedHost {
+    /// The host.
+    #[serde(flatten)]
+    pub(crate) member: Member,
+    /// Its share of a core, in thousandths.
+    pub(crate) cpu_millis: u32,
+}
+
 #[derive(Debug)]
 struct Listed {
-    member: Member,
+    host: ListedHost,
     /// Since when the host is listed no more.
     gone_since: Option<Instant>,
 }
@@ -91,16 +106,15 @@
 
 impl Members {
     /// Takes an entry of the list, and returns whether it says something new.
-    pub(crate) fn list(&mut self, member: Member) -> bool {
-        let listed = Listed {
-            member,
-            gone_since: None,
-        };
-        let known = self.hosts.get(&listed.member.id);
-        let is_same =
-            known.is_some_and(|known| known.member == listed.member && known.gone_since.is_none());
+    pub(crate) fn list(&mut self, host: ListedHost) -> bool {
+        let known = self.hosts.get(&host.member.id);
+        let is_same = known.is_some_and(|known| known.host == host && known.gone_since.is_none());
         if !is_same {
-            self.hosts.insert(listed.member.id.clone(), listed);
+            let listed = Listed {
+                host,
+                gone_since: None,
+            };
+            self.hosts.insert(listed.host.member.id.clone(), listed);
             self.refresh();
         }
         !is_same
@@ -121,8 +135,14 @@
     }
 
     fn refresh(&mut self) {
+        let listed = self.listed().map(|host| host.member.clone());
+        self.alive = Rc::new(listed.collect());
+    }
+
+    /// Returns the hosts that are listed, by name, with their sizes.
+    pub(crate) fn listed(&self) -> impl Iterator<Item = &ListedHost> {
         let listed = self.hosts.values().filter(|host| host.gone_since.is_none());
-        self.alive = Rc::new(listed.map(|host| host.member.clone()).collect());
+        listed.map(|listed| &listed.host)
     }
 
     /// Returns the hosts that are listed, by name.
--- a/crates/process/gateway/src/peer.rs
+++ b/crates/process/gateway/src/peer.rs
@@ -93,8 +93,8 @@
     pub(crate) time_left_ms: u32,
     /// Time after which the peer answers with what there is, in milliseconds.
     pub(crate) answer_in_ms: u32,
-    /// Whether the servers may have been called for these shards before.
-    pub(crate) is_extra: bool,
+    /// Most servers of a shard that the peer may call.
+    pub(crate) max_attempts: u8,
 }
 
 /// Parts of a query.
--- a/crates/process/gateway/src/relay.rs
+++ b/crates/process/gateway/src/relay.rs
@@ -10,18 +10,21 @@
         answer::Piece,
         call::CallEnd,
         exchange::{Failed, Outgoing},
+        membership::ListedHost,
         peer::{self, GatherCall, GatherReply, PROTOCOL_VERSION},
         serve::Job,
         shared::Shared,
-        view::Via,
+        view::{Relaying, Via},
         Adapter, Protocol,
     },
     bytes::Bytes,
-    fleet::{relay_set, Choice, Member, Outcome, Phase},
+    fleet::{relay_count, relay_set, Choice, Member, Outcome, Phase, RelayLimits},
     http::{HeaderName, HeaderValue, Method, Request, Uri},
     kind::{Error, Kind, Ran, Result},
+    link::connection_share,
     plan::Reason,
-    record::HostId,
+    record::{HostId, ZoneId},
+    replica::Distance,
     routing::{Route, ServiceName, Table, Target},
     scatter::{greatest_records, Bundle, Call, Failure, Plan},
     std::{
@@ -41,9 +44,12 @@
 /// Number of a host that relays, unique within the process.
 pub(crate) type RelayKey = u32;
 
-/// Hosts of a region that relay. Few of them keep the connections to servers
-/// in use and see each server's state; two may be lost at the same time.
-const RELAYS_PER_REGION: usize = 3;
+/// Hosts of a zone that relay. Few of them keep the connections to servers in
+/// use and see each server's state; two may be lost at the same time.
+const RELAYS_PER_ZONE: usize = 3;
+/// Least size of a relay beside the strongest host of its zone: a query over
+/// many shards takes a weak one longer than the servers.
+const STRONG_SHARE: f64 = 0.8;
 /// Time for which the rest of a reply is kept for a peer that comes for it.
 const REST_MEMORY: Duration = Duration::from_millis(200);
 /// Round trip to a relay until one is measured, a usual figure between regions.
@@ -59,31 +65,59 @@
     keys: HashMap<HostId, RelayKey>,
     members: Vec<Member>,
     choice: Choice,
+    /// Hosts of each zone that relay.
+    sets: HashMap<ZoneId, Vec<Member>>,
+    /// The same in the order of each service, made when it is first asked for.
+    orders: HashMap<(ZoneId, ServiceName), Vec<Member>>,
     /// What is still to come of replies of this host.
     rests: HashMap<u64, oneshot::Receiver<GatherReply>>,
 }
 
 impl Relays {
-    /// Chooses a relay in `region`, or none if all failed a moment ago.
-    pub(crate) fn choose(
+    /// Chooses a relay in `zone` for whatever service, or none if all failed a moment ago.
+    fn choose(&mut self, zone: &ZoneId, own: &Member, now: Instant) -> Option<RelayKey> {
+        let set = self.sets.get(zone)?;
+        let order = self.choice.order(set, own, now, &mut rand::rng());
+        let relay = (*order.first()?).clone();
+        self.usable(relay, own, now)
+    }
+
+    /// Chooses the relay in `zone` that all hosts use for `service` while it works.
+    ///
+    /// That host sees all the calls to a server, and so its pauses and its
+    /// load, and keeps its connections in use.
+    fn choose_for(
         &mut self,
-        region: &str,
+        zone: &ZoneId,
+        service: &ServiceName,
         own: &Member,
-        members: &[Member],
         now: Instant,
     ) -> Option<RelayKey> {
-        let near = members.iter().filter(|member| member.region == region);
-        let near: Vec<Member> = near.cloned().collect();
-        let set = relay_set(region, &near, RELAYS_PER_REGION);
-        let set: Vec<Member> = set.into_iter().cloned().collect();
-        let order = self.choice.order(&set, own, now, &mut rand::rng());
-        let relay = (*order.first()?).clone();
-        if self.choice.has_failed(&relay, now) {
+        let set = self.sets.get(zone)?;
+        let key = (zone.clone(), service.clone());
+        let order = self.orders.entry(key).or_insert_with(|| {
+            let order = relay_set(service, set, set.len());
+            order.into_iter().cloned().collect()
+        });
+        let choice = &self.choice;
+        let relay = order.iter().find(|member| !choice.has_failed(member, now));
+        let relay = relay?.clone();
+        self.usable(relay, own, now)
+    }
+
+    /// Returns the key of a relay, or `None` for this host itself.
+    fn usable(&mut self, relay: Member, own: &Member, now: Instant) -> Option<RelayKey> {
+        if relay.id == own.id || self.choice.has_failed(&relay, now) {
             return None;
         }
         Some(self.key(relay))
     }
 
+    fn is_relay(&self, own: &Member) -> bool {
+        let set = self.sets.get(&own.zone);
+        set.is_some_and(|set| set.iter().any(|relay| relay.id == own.id))
+    }
+
     fn key(&mut self, member: Member) -> RelayKey {
         if let Some(key) = self.keys.get(&member.id).copied() {
             if let Some(known) = self.members.get_mut(key as usize) {
@@ -98,19 +132,106 @@
     }
 }
 
+/// Returns the hosts of each zone that relay: the strongest ones, a few of them.
+fn relay_sets<'a>(hosts: impl Iterator<Item = &'a ListedHost>) -> HashMap<ZoneId, Vec<Member>> {
+    let mut by_zone: HashMap<ZoneId, Vec<&ListedHost>> = HashMap::new();
+    for host in hosts {
+        by_zone
+            .entry(host.member.zone.clone())
+            .or_default()
+            .push(host);
+    }
+    let set = |zone: &str, hosts: &[&ListedHost]| -> Vec<Member> {
+        let most = hosts.iter().map(|host| host.cpu_millis).max().unwrap_or(0);
+        let least = (f64::from(most) * STRONG_SHARE) as u32;
+        let strong = hosts.iter().filter(|host| host.cpu_millis >= least);
+        let strong: Vec<Member> = strong.map(|host| host.member.clone()).collect();
+        let set = relay_set(zone, &strong, RELAYS_PER_ZONE);
+        set.into_iter().cloned().collect()
+    };
+    let zones = by_zone.into_iter();
+    zones
+        .map(|(zone, hosts)| (zone.clone(), set(&zone, &hosts)))
+        .collect()
+}
+
 impl<A: Adapter> Shared<A> {
-    /// Chooses a relay in `region`, if there is one that works.
-    pub(crate) fn choose_relay(&self, region: &str, now: Instant) -> Option<RelayKey> {
-        let members = self.members.borrow().alive();
+    /// Takes a change in the list of hosts.
+    pub(crate) fn on_members(&self) {
+        let count = self.members.borrow_mut().count(Instant::now());
+        if self.hosts.replace(count) != count {
+            self.extras.borrow_mut().set_hosts(count);
+            log::info!(target: "fleet", "{count} hosts are counted.");
+        }
         let mut relays = self.relays.borrow_mut();
-        relays.choose(region, &self.settings.member, &members, now)
+        relays.sets = relay_sets(self.members.borrow().listed());
+        relays.orders.clear();
     }
+
+    /// Returns whether every host can hold connections of its own to servers that accept `limit`.
+    fn is_own_relay(&self, limit: u32) -> bool {
+        let hosts = self.hosts.get();
+        let limits = RelayLimits {
+            record: None,
+            settings: None,
+            connection_limit: limit,
+        };
+        relay_count(limits, hosts) >= hosts
+    }
+
+    /// Returns the most connections that this host holds to a server that accepts `limit`.
+    pub(crate) fn connection_share(&self, limit: u32, is_relayed: bool) -> u32 {
+        let hosts = self.hosts.get();
+        if !is_relayed || self.is_own_relay(limit) {
+            return connection_share(limit, hosts);
+        }
+        let relays = self.relays.borrow();
+        if relays.is_relay(&self.settings.member) {
+            let count = relays.sets.values().map(Vec::len).sum::<usize>();
+            connection_share(limit, count)
+        } else {
+            // Only where no relay works.
+            1
+        }
+    }
+
+    /// Chooses a relay in `zone`, if there is one that works and is another host.
+    pub(crate) fn choose_relay(
+        &self,
+        zone: &ZoneId,
+        service: &ServiceName,
+        limit: u32,
+        now: Instant,
+    ) -> Relay {
+        let place = &self.settings.place;
+        let own = &self.settings.member;
+        if place.distance(zone) == Distance::Far {
+            // One for all parts: every call to another region is dear.
+            return Relay::OfZone(self.relays.borrow_mut().choose(zone, own, now));
+        }
+        if self.is_own_relay(limit) {
+            return Relay::OfZone(None);
+        }
+        let mut relays = self.relays.borrow_mut();
+        Relay::OfService(relays.choose_for(zone, service, own, now))
+    }
+}
+
+/// A relay, or none where this host calls the servers itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Relay {
+    /// For all parts whose servers are in the zone.
+    OfZone(Option<RelayKey>),
+    /// For the service alone.
+    OfService(Option<RelayKey>),
 }
 
 /// The calls of one query that go to the same relay.
 pub(crate) struct Relayed {
     pub(crate) relay: RelayKey,
     pub(crate) calls: Vec<Call<Via>>,
+    /// Most servers of a part that the relay may call.
+    pub(crate) max_attempts: usize,
     pub(crate) table_version: u64,
     pub(crate) answer_at: Instant,
 }
@@ -247,7 +368,7 @@
         body: outgoing.body.to_vec(),
         time_left_ms: millis(outgoing.deadline.saturating_duration_since(now)),
         answer_in_ms: millis(answer_in.saturating_sub(way)),
-        is_extra: false,
+        max_attempts: u8::try_from(relayed.max_attempts).unwrap_or(u8::MAX),
     }
 }
 
@@ -288,6 +409,7 @@
     let gathering = Gathering {
         keep_records: set.keep_records,
         positions: call.positions.clone(),
+        max_attempts: usize::from(call.max_attempts).min(route.max_attempts),
         outgoing: Rc::new(outgoing::<A>(call, deadline)?),
         table,
         route: Arc::clone(&route),
@@ -335,6 +457,7 @@
     /// Position of each part within the route.
     positions: Vec<u16>,
     keep_records: usize,
+    max_attempts: usize,
     answer_at: Instant,
     deadline: Instant,
 }
@@ -352,7 +475,7 @@
             table: &self.table,
             route: &self.route,
             outgoing: &self.outgoing,
-            relayed_for: None,
+            relaying: Relaying::Own,
         };
         let plan = Plan {
             deadline: self.deadline,
@@ -361,7 +484,7 @@
             late_answer_at: self.deadline,
             // The peer knows what is enough, over the parts of all relays.
             min_share: 0.0,
-            max_attempts: self.route.max_attempts,
+            max_attempts: self.max_attempts,
             is_repeatable: true,
             hedge_after: Some(crate::serve::HEDGE_AFTER),
             hedge_until: Some(self.answer_at),
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -8,7 +8,7 @@
         exchange::Outgoing,
         relay::{self, Relayed},
         shared::Shared,
-        view::{Via, View},
+        view::{Relaying, Via, View},
         Adapter, Ask, Protocol,
     },
     bytes::Bytes,
@@ -94,7 +94,7 @@
         table: &table,
         route: &route,
         outgoing: &outgoing,
-        relayed_for: None,
+        relaying: Relaying::None,
     };
     match &route.target {
         Target::One(service) => job.one(service, began).await,
@@ -142,8 +142,7 @@
     pub(crate) table: &'a Table,
     pub(crate) route: &'a Arc<Route>,
     pub(crate) outgoing: &'a Rc<Outgoing>,
-    /// Time until relays answer with what they have, or `None` to go without.
-    pub(crate) relayed_for: Option<Duration>,
+    pub(crate) relaying: Relaying,
 }
 
 impl<A: Adapter> Job<'_, A> {
@@ -188,7 +187,7 @@
             hedge_after: Some(HEDGE_AFTER),
             hedge_until: None,
         };
-        self.relayed_for = Some(plan.answer_at.saturating_duration_since(began));
+        self.relaying = Relaying::First(plan.answer_at.saturating_duration_since(began));
         let (outcome, _) = self.ask(plan, &set.services).await;
         if !outcome.is_enough {
             return Err(answer::shortfall(&outcome, RETRY_AFTER));
@@ -230,8 +229,8 @@
         View {
             shared: self.shared,
             typical_ms: self.shared.works.borrow().typical_ms(&self.route.name),
-            relayed_for: self.relayed_for,
-            max_attempts: self.route.max_attempts,
+            relaying: self.relaying,
+            table: self.table,
             chosen: Vec::new(),
         }
     }
@@ -245,10 +244,14 @@
                 Action::Finish => return false,
                 Action::Call(call) => match call.server {
                     Via::Server(server) => self.call(call, server, ends),
-                    Via::Relay(relay) => match relayed.iter_mut().find(|r| r.relay == relay) {
+                    Via::Relay(relay) => match relayed
+                        .iter_mut()
+                        .find(|r| r.relay == relay && r.max_attempts == call.reaches)
+                    {
                         Some(known) => known.calls.push(call),
                         None => relayed.push(Relayed {
                             relay,
+                            max_attempts: call.reaches,
                             calls: vec![call],
                             table_version: self.table.version(),
                             answer_at: running.answer_at,
@@ -274,10 +277,12 @@
             let mut extras = self.shared.extras.borrow_mut();
             extras.on_first(&call.service, Instant::now());
         }
+        let limit = self.table.connection_limit(&call.service);
+        let is_relayed = self.relaying != Relaying::None;
         spawn_local(call::run(
             Rc::clone(self.shared),
             Arc::clone(&self.route.name),
-            self.table.connection_limit(&call.service),
+            self.shared.connection_share(limit, is_relayed),
             call,
             server,
             Rc::clone(self.outgoing),
--- a/crates/process/gateway/src/settings.rs
+++ b/crates/process/gateway/src/settings.rs
@@ -38,6 +38,8 @@
     pub retry_slack: f64,
     /// Time from the request to stop to the end of the process, in milliseconds.
     pub shutdown_ms: u64,
+    /// Share of a core that the host has.
+    pub cpu_share: f64,
 }
 
 /// Checked settings.
@@ -55,6 +57,8 @@
     pub store_addr: SocketAddr,
     /// Extra calls that all hosts together may make.
     pub allowance: Allowance,
+    /// Share of a core that the host has, in thousandths.
+    pub cpu_millis: u32,
     /// Time for which a leaving host still takes work.
     pub balancer_lag: Duration,
     /// Time from the request to stop until work in flight is given up.
@@ -78,6 +82,11 @@
             raw.retry_slack
         );
         ensure!(raw.shutdown_ms > 0, "the time for a shutdown is 0 ms");
+        ensure!(
+            raw.cpu_share > 0.0 && raw.cpu_share.is_finite(),
+            "the share of a core, {}, is not a number above 0",
+            raw.cpu_share
+        );
         let shutdown = Duration::from_millis(raw.shutdown_ms);
         let max_drain = shutdown.mul_f64(DRAIN_SHARE);
         let region = raw.regions.get(&raw.zone).cloned();
@@ -103,6 +112,7 @@
                 ratio: raw.retry_ratio,
                 slack: raw.retry_slack,
             },
+            cpu_millis: (raw.cpu_share * 1_000.0) as u32,
             balancer_lag: BALANCER_LAG.min(max_drain / 2),
             max_drain,
         })
--- a/crates/process/gateway/src/shared.rs
+++ b/crates/process/gateway/src/shared.rs
@@ -76,15 +76,6 @@
         self.last_call.get()
     }
 
-    /// Takes a change in the list of hosts.
-    pub(crate) fn on_members(&self) {
-        let count = self.members.borrow_mut().count(Instant::now());
-        if self.hosts.replace(count) != count {
-            self.extras.borrow_mut().set_hosts(count);
-            log::info!(target: "fleet", "{count} hosts are counted.");
-        }
-    }
-
     /// Returns whether this host knows what stands in the store, or did a moment ago.
     pub(crate) fn is_informed(&self) -> bool {
         self.catalog.borrow().age(Instant::now()).is_some()
--- a/crates/process/gateway/src/view.rs
+++ b/crates/process/gateway/src/view.rs
@@ -1,10 +1,14 @@
 //! The servers as one request sees them, with the relays before those far away.
 
 use {
-    crate::{relay::RelayKey, shared::Shared, Adapter},
-    record::RegionId,
-    replica::{Distance, Pick, ReplicaKey},
-    routing::ServiceName,
+    crate::{
+        relay::{Relay, RelayKey},
+        shared::Shared,
+        Adapter,
+    },
+    record::ZoneId,
+    replica::{Pick, ReplicaKey},
+    routing::{ServiceName, Table},
     scatter::{Candidate, Replicas},
     std::time::{Duration, Instant},
 };
@@ -22,31 +26,53 @@
 pub(crate) struct View<'a, A: Adapter> {
     pub(crate) shared: &'a Shared<A>,
     pub(crate) typical_ms: f64,
-    /// Time until a relay answers with what it has, or `None` to go without relays.
-    pub(crate) relayed_for: Option<Duration>,
-    /// Most servers that a part may reach.
-    pub(crate) max_attempts: usize,
-    /// Relays chosen, by region: all parts of a region go to the same one.
-    pub(crate) chosen: Vec<(RegionId, Option<RelayKey>)>,
+    pub(crate) relaying: Relaying,
+    pub(crate) table: &'a Table,
+    /// Relays chosen for all parts of a zone.
+    pub(crate) chosen: Vec<(ZoneId, Option<RelayKey>)>,
+}
+
+/// Which calls go through relays.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Relaying {
+    /// None, as for requests to a single service.
+    None,
+    /// None, as of a host that relays itself.
+    Own,
+    /// First calls, answered after this time with what there is.
+    First(Duration),
 }
 
 impl<A: Adapter> View<'_, A> {
-    fn relay_for(&mut self, pick: Pick, tried: &[Via], now: Instant) -> Option<RelayKey> {
-        let has_tried = tried.iter().any(|via| matches!(via, Via::Relay(_)));
-        if pick.distance != Distance::Far || has_tried {
+    /// Returns the relay for a first call to the server of `pick`.
+    ///
+    /// Second calls go without: a relay makes them itself, up to the most
+    /// servers that a part may reach.
+    fn relay_for(
+        &mut self,
+        service: &ServiceName,
+        pick: Pick,
+        tried: &[Via],
+        now: Instant,
+    ) -> Option<RelayKey> {
+        if !tried.is_empty() {
             return None;
         }
-        let region = {
+        let zone = {
             let replicas = self.shared.replicas.borrow();
-            let zone = &replicas.entry(pick.key)?.zone;
-            self.shared.settings.place.regions.get(zone)?.clone()
+            replicas.entry(pick.key)?.zone.clone()
         };
-        if let Some((_, relay)) = self.chosen.iter().find(|(known, _)| *known == region) {
+        if let Some((_, relay)) = self.chosen.iter().find(|(known, _)| *known == zone) {
             return *relay;
         }
-        let relay = self.shared.choose_relay(&region, now);
-        self.chosen.push((region, relay));
-        relay
+        let limit = self.table.connection_limit(service);
+        match self.shared.choose_relay(&zone, service, limit, now) {
+            Relay::OfZone(relay) => {
+                self.chosen.push((zone, relay));
+                relay
+            }
+            Relay::OfService(relay) => relay,
+        }
     }
 }
 
@@ -57,6 +83,7 @@
         &mut self,
         service: &ServiceName,
         tried: &[Via],
+        most: usize,
         now: Instant,
     ) -> Option<Candidate<Via>> {
         let servers = tried.iter().filter_map(|via| match via {
@@ -67,13 +94,13 @@
         let replicas = self.shared.replicas.borrow();
         let pick = replicas.pick(service, &servers, self.typical_ms, now)?;
         drop(replicas);
-        if let Some(relayed_for) = self.relayed_for {
-            if let Some(relay) = self.relay_for(pick, tried, now) {
+        if let Relaying::First(expected) = self.relaying {
+            if let Some(relay) = self.relay_for(service, pick, tried, now) {
                 return Some(Candidate {
                     server: Via::Relay(relay),
-                    expected: relayed_for,
+                    expected,
                     is_free: true,
-                    reaches: self.max_attempts,
+                    reaches: most,
                 });
             }
         }
@@ -88,8 +115,4 @@
     fn take_extra(&mut self, service: &ServiceName, now: Instant) -> bool {
         self.shared.extras.borrow_mut().take(service, now)
     }
-
-    fn servers(&self, service: &ServiceName) -> usize {
-        self.shared.replicas.borrow().ready(service).len()
-    }
 }
--- a/crates/request/scatter/src/query.rs
+++ b/crates/request/scatter/src/query.rs
@@ -43,19 +43,17 @@
     /// What tells servers apart.
     type Key: Copy + Eq;
 
-    /// Picks a server for a part, those `tried` left out.
+    /// Picks a server for a part, those `tried` left out; the call may reach `most` servers.
     fn pick(
         &mut self,
         service: &ServiceName,
         tried: &[Self::Key],
+        most: usize,
         now: Instant,
     ) -> Option<Candidate<Self::Key>>;
 
     /// Spends one call beyond the first, if the budget of the service allows it.
     fn take_extra(&mut self, service: &ServiceName, now: Instant) -> bool;
-
-    /// Returns the number of servers that a service has.
-    fn servers(&self, service: &ServiceName) -> usize;
 }
 
 /// A server that a call may go to.
@@ -78,6 +76,8 @@
     pub attempt: AttemptId,
     /// Position of the part among those of the request.
     pub position: usize,
+    /// Most servers that the call may reach.
+    pub reaches: usize,
     /// Why the call is made.
     pub cause: Cause,
     /// Service of the part.
@@ -214,8 +214,11 @@
     where
         V: Replicas<Key = K>,
     {
+        let most = self.plan.max_attempts;
         let services = self.works.iter().map(|work| &work.service);
-        let candidates: Vec<_> = services.map(|name| view.pick(name, &[], now)).collect();
+        let candidates: Vec<_> = services
+            .map(|name| view.pick(name, &[], most, now))
+            .collect();
         for (position, candidate) in candidates.iter().enumerate() {
             if candidate.is_none() {
                 self.lose(position, Reason::Unreachable);
@@ -332,6 +335,7 @@
         Action::Call(Call {
             attempt,
             position,
+            reaches,
             cause,
             service: work.service.clone(),
             server,
@@ -438,11 +442,15 @@
         V: Replicas<Key = K>,
     {
         let is_allowed = self.plan.is_repeatable || failure.ran == Ran::No;
-        if !is_allowed || now >= self.plan.deadline || !self.has_attempts(position, view) {
+        if !is_allowed
+            || now >= self.plan.deadline
+            || self.works[position].reached >= self.plan.max_attempts
+        {
             return None;
         }
         let work = &self.works[position];
-        let picked = view.pick(&work.service, &work.tried, now)?;
+        let most = self.plan.max_attempts.saturating_sub(work.reached).max(1);
+        let picked = view.pick(&work.service, &work.tried, most, now)?;
         // A call that never reached a server costs the servers nothing.
         (!failure.has_arrived || view.take_extra(&work.service, now)).then_some(picked)
     }
@@ -478,7 +486,7 @@
     ) where
         V: Replicas<Key = K>,
     {
-        if !self.has_attempts(position, view) {
+        if self.works[position].reached >= self.plan.max_attempts {
             return;
         }
         let work = &self.works[position];
@@ -489,7 +497,8 @@
             self.plan.deadline
         };
         let left = answer_at.saturating_duration_since(now);
-        let picked = view.pick(&work.service, &work.tried, now);
+        let most = self.plan.max_attempts.saturating_sub(work.reached).max(1);
+        let picked = view.pick(&work.service, &work.tried, most, now);
         let is_useful = |candidate: &Candidate<K>| candidate.is_free && candidate.expected < left;
         match picked.filter(is_useful) {
             Some(candidate) if view.take_extra(&work.service, now) => {
@@ -506,17 +515,6 @@
         }
     }
 
-    /// Returns whether one more server keeps within the most that a part may reach.
-    fn has_attempts<V>(&self, position: usize, view: &V) -> bool
-    where
-        V: Replicas<Key = K>,
-    {
-        let work = &self.works[position];
-        work.reached < self.plan.max_attempts
-            || (work.tried.len() < self.plan.max_attempts
-                && view.servers(&work.service) <= self.plan.max_attempts)
-    }
-
     fn lose(&mut self, position: usize, reason: Reason) {
         self.works[position].end = Some(End::Missing(reason));
         self.waiting -= 1;
