--- a/crates/bin/wharf/src/hosted.rs
+++ b/crates/bin/wharf/src/hosted.rs
@@ -14,13 +14,16 @@
     },
 };
 
+/// Levels of the log; the library for calls between hosts tells each of them.
+const LOG_LEVELS: &str = "info, tarpc=warn";
+
 /// Runs a host by the settings file at `path` until it is asked to stop.
 ///
 /// # Errors
 ///
 /// Returns an error if the settings are not valid or an address cannot be bound.
 pub(crate) fn run(path: &Path) -> Result<()> {
-    let _logs = meter::start_json_logs("info")?;
+    let _logs = meter::start_json_logs(LOG_LEVELS)?;
     let settings = Settings::try_from(read_settings(path)?)?;
     // One thread: a host has a fraction of a core.
     let runtime = Builder::new_current_thread().enable_all().build()?;
--- a/crates/process/fleet/src/lib.rs
+++ b/crates/process/fleet/src/lib.rs
@@ -31,7 +31,7 @@
     life::{Life, LifeEvent, Phase},
     member::{Entry, EntryVersion, Incarnation, Member, Standing},
     message::{MalformedReport, Message, WireEntry, WireFact, WireMessage, WireReport},
-    reader::reader_candidates,
+    reader::{reader_duty, ReaderDuty},
     relay_set::{eligible, relay_count, relay_set, RelayLimits},
     rumour::{Rumour, Rumours},
     table::{
--- a/crates/process/fleet/tests/reader.rs
+++ b/crates/process/fleet/tests/reader.rs
@@ -1,6 +1,7 @@
 //! Who reads the store and who asks whom.
 
-use fleet::{reader_candidates, Member};
+use fleet::{reader_duty, Member};
+use std::time::Duration;
 
 fn member(id: &str, region: &str) -> Member {
     Member {
@@ -18,22 +19,25 @@
 }
 
 #[test]
-fn one_host_of_each_region_asks_nobody() {
+fn one_host_reads_and_one_of_each_other_region_asks_it() {
     for (regions, hosts) in [(1, 1), (1, 7), (3, 2), (3, 27), (5, 260)] {
         let members = fleet(regions, hosts);
-        let readers: Vec<&str> = members
+        let asked = |own: &Member| -> Vec<String> {
+            let candidates = reader_duty(&own.id, &members, false).candidates;
+            candidates
+                .into_iter()
+                .map(|member| member.id.clone())
+                .collect()
+        };
+        let readers: Vec<&Member> = members.iter().filter(|own| asked(own).is_empty()).collect();
+        assert_eq!(readers.len(), 1, "{regions} {hosts}");
+        let far = members.iter().filter(|own| own.region != readers[0].region);
+        let first_asked: Vec<String> = far.filter_map(|own| asked(own).first().cloned()).collect();
+        let ask_reader = first_asked
             .iter()
-            .filter(|own| reader_candidates(&own.id, &members, false).is_empty())
-            .map(|own| own.region.as_str())
-            .collect();
-        let mut distinct = readers.clone();
-        distinct.sort_unstable();
-        distinct.dedup();
-        assert_eq!(
-            (readers.len(), distinct.len()),
-            (regions, regions),
-            "{regions} {hosts}"
-        );
+            .filter(|id| **id == readers[0].id)
+            .count();
+        assert_eq!(ask_reader, regions - 1, "{regions} {hosts}");
     }
 }
 
@@ -42,7 +46,7 @@
     let members = fleet(3, 9);
     for own in &members {
         for is_cut in [false, true] {
-            let asked = reader_candidates(&own.id, &members, is_cut);
+            let asked = reader_duty(&own.id, &members, is_cut).candidates;
             assert!(asked.iter().all(|member| member.id != own.id));
             let first_far = asked.iter().position(|member| member.region != own.region);
             let last_near = asked.iter().rposition(|member| member.region == own.region);
@@ -52,7 +56,7 @@
         }
         // Also the first reader has somebody to ask when the store turns it away.
         assert!(
-            reader_candidates(&own.id, &members, true).len() >= 4,
+            reader_duty(&own.id, &members, true).candidates.len() >= 4,
             "{}",
             own.id
         );
@@ -62,6 +66,25 @@
 #[test]
 fn a_host_that_is_not_listed_asks_the_first_reader_of_any_region() {
     let members = fleet(3, 4);
-    assert_eq!(reader_candidates("new", &members, false).len(), 3);
-    assert!(reader_candidates("new", &[], false).is_empty());
+    assert_eq!(reader_duty("new", &members, false).candidates.len(), 3);
+    assert!(reader_duty("new", &[], false).candidates.is_empty());
+}
+
+#[test]
+fn hosts_lose_patience_one_after_the_other_and_before_a_drain_is_over() {
+    let members = fleet(3, 9);
+    let mut patience: Vec<Duration> = members
+        .iter()
+        .map(|own| reader_duty(&own.id, &members, false).patience)
+        .collect();
+    patience.sort_unstable();
+    assert!(patience
+        .iter()
+        .all(|patience| *patience < Duration::from_secs(3)));
+    let early = patience
+        .iter()
+        .filter(|p| **p < Duration::from_secs(2))
+        .count();
+    // Those that take over: one of each region, the reader itself among them.
+    assert_eq!(early, 3, "{patience:?}");
 }
--- a/crates/process/gateway/src/follow.rs
+++ b/crates/process/gateway/src/follow.rs
@@ -60,12 +60,19 @@
 }
 
 /// Reads all keys that begin with `prefix`, and returns the revision to go on from.
-async fn list<A: Adapter>(shared: &Shared<A>, prefix: &str) -> Result<StoreRevision, Fault> {
+///
+/// # Errors
+///
+/// Returns the fault of the call.
+pub(crate) async fn list<A: Adapter>(
+    shared: &Shared<A>,
+    prefix: &str,
+) -> Result<StoreRevision, Fault> {
     let began = Instant::now();
     let listing = shared.keys.list(prefix).await?;
     apply::listing(shared, prefix, listing.items);
     if prefix == A::Layout::SERVER_PREFIX {
-        shared.catalog.borrow_mut().on_read(began);
+        shared.on_read(began);
     }
     Ok(listing.revision)
 }
@@ -89,7 +96,7 @@
                 after = revision;
                 if prefix == A::Layout::SERVER_PREFIX {
                     // Asked every second, so that it tells for all of the store.
-                    shared.catalog.borrow_mut().on_read(began);
+                    shared.on_read(began);
                 }
             }
             Changes::HistoryGone => {
--- a/crates/process/gateway/src/news.rs
+++ b/crates/process/gateway/src/news.rs
@@ -8,7 +8,7 @@
         shared::Shared,
         Adapter, Layout,
     },
-    fleet::{reader_candidates, Member},
+    fleet::{reader_duty, Member},
     kind::{Error, Kind, Result},
     record::HostId,
     std::{
@@ -16,22 +16,27 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    store::{Item, KeyEvent},
+    store::{Fault, Item, KeyEvent},
     tokio::{
         select,
-        time::{sleep, timeout},
+        time::{sleep, timeout, timeout_at},
     },
 };
 
 /// Time for which a peer waits for news before it answers that there are none.
-const NEWS_WAIT: Duration = Duration::from_millis(700);
+const NEWS_WAIT: Duration = Duration::from_millis(500);
 /// Time beyond that for the way to a peer of another region and back.
 const NEWS_SLACK: Duration = Duration::from_millis(400);
-/// Age from which the knowledge of a peer is not good enough. A server that
-/// drains serves for 3 s at least after the store knows.
-const MAX_AGE: Duration = Duration::from_millis(1_900);
 /// Time for which a peer that did not answer well is not asked again.
 const FAILURE_MEMORY: Duration = Duration::from_secs(3);
+/// Hosts that a starting host asks before it reads for itself.
+const START_CANDIDATES: usize = 2;
+/// Time for which it asks each of them, who may be starting as well.
+const START_WAIT: Duration = Duration::from_millis(600);
+/// Pause before it asks the same one again.
+const START_PAUSE: Duration = Duration::from_millis(80);
+/// Time within which all hosts of a new fleet start.
+const START_SPREAD: Duration = Duration::from_millis(350);
 /// Pause between looks whether somebody can be asked.
 const DUTY_PAUSE: Duration = Duration::from_millis(500);
 /// Time since a fault of the store for which this host counts as cut from it.
@@ -43,7 +48,8 @@
     let changed = async {
         loop {
             let notified = shared.has_news.notified();
-            if shared.catalog.borrow().has_news(call.epoch, call.after) {
+            // A host that has just started knows nothing yet, but soon will.
+            if shared.is_informed() && shared.catalog.borrow().has_news(call.epoch, call.after) {
                 return;
             }
             notified.await;
@@ -65,15 +71,17 @@
 }
 
 impl Sources {
-    fn candidates(&mut self, own_id: &str, members: &[Member], now: Instant) -> Vec<Member> {
+    /// Returns whom this host asks, and how old their knowledge may be.
+    fn duty(&mut self, own_id: &str, members: &[Member], now: Instant) -> (Vec<Member>, Duration) {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < FAILURE_MEMORY;
         self.failed.retain(|_, at| is_recent(at));
         let is_cut = self
             .cut_at
             .is_some_and(|at| now.saturating_duration_since(at) < CUT_MEMORY);
-        let candidates = reader_candidates(own_id, members, is_cut).into_iter();
+        let duty = reader_duty(own_id, members, is_cut);
+        let candidates = duty.candidates.into_iter();
         let sound = candidates.filter(|member| !self.failed.contains_key(&member.id));
-        sound.cloned().collect()
+        (sound.cloned().collect(), duty.patience)
     }
 }
 
@@ -81,8 +89,13 @@
 pub(crate) async fn follow<A: Adapter>(shared: Rc<Shared<A>>) {
     let mut link = Link::new("configuration, the hosts and the servers");
     let mut sources = Sources::default();
+    while let Err(fault) = meet(&shared).await {
+        sleep(link.on_fault(&fault)).await;
+    }
+    begin(&shared, &mut sources).await;
     loop {
-        if ask_peers(&shared, &mut sources).await {
+        // A host that knows nothing reads at once, whoever else might know.
+        if shared.is_informed() && ask_peers(&shared, &mut sources).await {
             continue;
         }
         let mut on_answer = || link.on_success();
@@ -102,16 +115,56 @@
     }
 }
 
+/// Learns of the other hosts, so that one of them can be asked for all else.
+///
+/// # Errors
+///
+/// Returns the fault of the call to the store.
+async fn meet<A: Adapter>(shared: &Shared<A>) -> Result<(), Fault> {
+    follow::list(shared, apply::HOST_PREFIX).await?;
+    let own = &shared.settings.member;
+    let members = shared.members.borrow().alive();
+    if members.iter().any(|member| member.id != own.id) {
+        return Ok(());
+    }
+    // All hosts may have started together.
+    sleep(START_SPREAD).await;
+    follow::list(shared, apply::HOST_PREFIX).await.map(|_| ())
+}
+
+/// Learns everything from a host of the own region, if one knows it soon.
+///
+/// Other regions are left out: all hosts may have started together, and then
+/// the first one of each region reads without waiting for another.
+async fn begin<A: Adapter>(shared: &Shared<A>, sources: &mut Sources) {
+    let own = &shared.settings.member;
+    let members = shared.members.borrow().alive();
+    let duty = reader_duty(&own.id, &members, false);
+    let near = duty
+        .candidates
+        .into_iter()
+        .filter(|peer| peer.region == own.region);
+    for peer in near.take(START_CANDIDATES) {
+        let until = Instant::now() + START_WAIT;
+        while Instant::now() < until {
+            if timeout_at(until.into(), ask(shared, sources, peer, duty.patience)).await
+                == Ok(Ok(()))
+            {
+                return;
+            }
+            sleep(START_PAUSE).await;
+        }
+    }
+}
+
 /// Waits until a peer can be asked in place of the store.
 async fn somebody_to_ask<A: Adapter>(shared: &Shared<A>, sources: &mut Sources) {
     loop {
         sleep(DUTY_PAUSE).await;
         let members = shared.members.borrow().alive();
         let own_id = &shared.settings.member.id;
-        if !sources
-            .candidates(own_id, &members, Instant::now())
-            .is_empty()
-        {
+        let (candidates, _) = sources.duty(own_id, &members, Instant::now());
+        if !candidates.is_empty() {
             return;
         }
     }
@@ -121,8 +174,9 @@
 async fn ask_peers<A: Adapter>(shared: &Shared<A>, sources: &mut Sources) -> bool {
     let members = shared.members.borrow().alive();
     let own_id = &shared.settings.member.id;
-    for peer in sources.candidates(own_id, &members, Instant::now()) {
-        match ask(shared, sources, &peer).await {
+    let (candidates, patience) = sources.duty(own_id, &members, Instant::now());
+    for peer in candidates {
+        match ask(shared, sources, &peer, patience).await {
             Ok(()) => return true,
             Err(error) => {
                 log::info!(target: "fleet", "Host {} is not asked for a while: {error}.", peer.id);
@@ -133,7 +187,12 @@
     false
 }
 
-async fn ask<A: Adapter>(shared: &Shared<A>, sources: &mut Sources, peer: &Member) -> Result<()> {
+async fn ask<A: Adapter>(
+    shared: &Shared<A>,
+    sources: &mut Sources,
+    peer: &Member,
+    patience: Duration,
+) -> Result<()> {
     let call = NewsCall {
         protocol_version: PROTOCOL_VERSION,
         epoch: sources.epoch,
@@ -146,16 +205,13 @@
     let reply = timeout(NEWS_WAIT + NEWS_SLACK, asked).await;
     let reply = reply.map_err(|_| lost("no answer in time"))??;
     let age = Duration::from_millis(reply.age_ms.into());
-    if age > MAX_AGE {
+    if age > patience {
         return Err(lost(&format!("its knowledge is {} ms old", reply.age_ms)));
     }
     (sources.epoch, sources.after) = (reply.epoch, reply.last);
     take(shared, reply);
     let read_at = Instant::now().checked_sub(age);
-    shared
-        .catalog
-        .borrow_mut()
-        .on_read(read_at.unwrap_or_else(Instant::now));
+    shared.on_read(read_at.unwrap_or_else(Instant::now));
     Ok(())
 }
 
--- a/crates/process/gateway/src/relay.rs
+++ b/crates/process/gateway/src/relay.rs
@@ -161,7 +161,7 @@
         let count = self.members.borrow_mut().count(Instant::now());
         if self.hosts.replace(count) != count {
             self.extras.borrow_mut().set_hosts(count);
-            log::info!(target: "fleet", "{count} hosts are counted.");
+            log::debug!(target: "fleet", "{count} hosts are counted.");
         }
         let mut relays = self.relays.borrow_mut();
         relays.sets = relay_sets(self.members.borrow().listed());
@@ -331,7 +331,7 @@
         let call = relayed.calls.iter().find(|call| call.position == position);
         let (Some(call), Ok(proof)) = (call, HeaderValue::from_bytes(proof)) else {
             // Its records cannot be told from the others, so nothing of the reply is of use.
-            log::warn!(target: "relay", "A reply has parts that were not asked for.");
+            log::warn!(target: "relay", "A reply has part {position}, which is not waited for.");
             return None;
         };
         attempts.push(call.attempt);
--- a/crates/process/gateway/src/shared.rs
+++ b/crates/process/gateway/src/shared.rs
@@ -76,6 +76,16 @@
         self.last_call.get()
     }
 
+    /// Notes that all that is known was as the store had it at `at`.
+    pub(crate) fn on_read(&self, at: Instant) {
+        let was_informed = self.is_informed();
+        self.catalog.borrow_mut().on_read(at);
+        if !was_informed {
+            // Peers may be waiting for a host that knows anything at all.
+            self.has_news.notify_waiters();
+        }
+    }
+
     /// Returns whether this host knows what stands in the store, or did a moment ago.
     pub(crate) fn is_informed(&self) -> bool {
         self.catalog.borrow().age(Instant::now()).is_some()
--- a/crates/request/scatter/src/query.rs
+++ b/crates/request/scatter/src/query.rs
@@ -377,6 +377,10 @@
                 _ => None,
             })
             .collect();
+        if replaced.iter().any(|index| self.bundles[*index].is_none()) {
+            // What covers the part has been handed out already.
+            return;
+        }
         replaced.sort_unstable();
         replaced.dedup();
         let held = replaced
