Let strong hosts read the store for the others

Ruled out: a lagging configuration (all hosts had it 0.9 s after the acknowledgement), waiting for the reader at the start (hosts that knew nothing waited for each other).

Change: readers are the strongest hosts of their region; one reads, the first of each other region asks it; patience with old knowledge grows by rank, so that one takes over when the reader is lost.

--- a/crates/process/fleet/src/reader.rs
+++ b/crates/process/fleet/src/reader.rs
@@ -36,22 +36,16 @@
     pub patience: Duration,
 }
 
-/// Returns the duty of `own_id`.
+/// Returns the duty of `own` beside `readers`, the hosts that may read for others.
 ///
-/// The first host of all asks nobody. A host that the store turns away,
+/// The first reader of all asks nobody. A host that the store turns away,
 /// `is_cut`, asks also those that would ask it.
-pub fn reader_duty<'a>(own_id: &str, members: &'a [Member], is_cut: bool) -> ReaderDuty<'a> {
-    let firsts = first_readers(members);
-    let Some(own) = members.iter().find(|member| member.id == own_id) else {
-        return ReaderDuty {
-            candidates: firsts,
-            patience: MOST_PATIENCE,
-        };
-    };
-    let near = near_readers(own, members);
-    let place_near = near.iter().position(|member| member.id == own_id);
+pub fn reader_duty<'a>(own: &Member, readers: &'a [Member], is_cut: bool) -> ReaderDuty<'a> {
+    let firsts = first_readers(readers);
+    let near = near_readers(own, readers);
+    let place_near = near.iter().position(|member| member.id == own.id);
     let rank = match place_near {
-        Some(0) => firsts.iter().position(|member| member.id == own_id),
+        Some(0) => firsts.iter().position(|member| member.id == own.id),
         Some(place) => Some(firsts.len() + place - 1),
         None => None,
     };
@@ -61,11 +55,11 @@
         .filter(|member| member.region != own.region || is_first);
     let near = near.into_iter();
     let candidates = if is_cut {
-        without(own_id, near.chain(far).collect())
+        without(&own.id, near.chain(far).collect())
     } else if is_first {
-        far.take_while(|member| member.id != own_id).collect()
+        far.take_while(|member| member.id != own.id).collect()
     } else {
-        near.take_while(|member| member.id != own_id)
+        near.take_while(|member| member.id != own.id)
             .chain(far)
             .collect()
     };
--- a/crates/process/fleet/tests/reader.rs
+++ b/crates/process/fleet/tests/reader.rs
@@ -23,7 +23,7 @@
     for (regions, hosts) in [(1, 1), (1, 7), (3, 2), (3, 27), (5, 260)] {
         let members = fleet(regions, hosts);
         let asked = |own: &Member| -> Vec<String> {
-            let candidates = reader_duty(&own.id, &members, false).candidates;
+            let candidates = reader_duty(own, &members, false).candidates;
             candidates
                 .into_iter()
                 .map(|member| member.id.clone())
@@ -46,7 +46,7 @@
     let members = fleet(3, 9);
     for own in &members {
         for is_cut in [false, true] {
-            let asked = reader_duty(&own.id, &members, is_cut).candidates;
+            let asked = reader_duty(own, &members, is_cut).candidates;
             assert!(asked.iter().all(|member| member.id != own.id));
             let first_far = asked.iter().position(|member| member.region != own.region);
             let last_near = asked.iter().rposition(|member| member.region == own.region);
@@ -56,7 +56,7 @@
         }
         // Also the first reader has somebody to ask when the store turns it away.
         assert!(
-            reader_duty(&own.id, &members, true).candidates.len() >= 4,
+            reader_duty(own, &members, true).candidates.len() >= 4,
             "{}",
             own.id
         );
@@ -64,10 +64,13 @@
 }
 
 #[test]
-fn a_host_that_is_not_listed_asks_the_first_reader_of_any_region() {
+fn a_host_that_reads_for_nobody_asks_the_readers_of_its_region_and_the_first_of_others() {
     let members = fleet(3, 4);
-    assert_eq!(reader_duty("new", &members, false).candidates.len(), 3);
-    assert!(reader_duty("new", &[], false).candidates.is_empty());
+    let weak = member("weak", "r1");
+    let asked = reader_duty(&weak, &members, false).candidates;
+    assert!(asked[..3].iter().all(|member| member.region == "r1"));
+    assert_eq!(asked.len(), 5);
+    assert!(reader_duty(&weak, &[], false).candidates.is_empty());
 }
 
 #[test]
@@ -75,7 +78,7 @@
     let members = fleet(3, 9);
     let mut patience: Vec<Duration> = members
         .iter()
-        .map(|own| reader_duty(&own.id, &members, false).patience)
+        .map(|own| reader_duty(own, &members, false).patience)
         .collect();
     patience.sort_unstable();
     assert!(patience
--- a/crates/process/gateway/src/membership.rs
+++ b/crates/process/gateway/src/membership.rs
@@ -10,7 +10,7 @@
     record::HostId,
     serde::{Deserialize, Serialize},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -26,6 +26,10 @@
 /// Time for which a host that is listed no more is still counted.
 const COUNTED_FOR: Duration = Duration::from_secs(20);
 
+/// Least size of a host that works for others beside the strongest one: a
+/// query over many shards takes a weak host longer than the servers.
+const STRONG_SHARE: f64 = 0.8;
+
 /// Keeps this host listed until it leaves.
 pub(crate) async fn stay_listed<A: Adapter>(shared: Rc<Shared<A>>) {
     let mut link = Link::new("lease of this host");
@@ -102,6 +106,8 @@
 pub(crate) struct Members {
     hosts: BTreeMap<HostId, Listed>,
     alive: Rc<Vec<Member>>,
+    /// Those of them that read the store for others.
+    readers: Rc<Vec<Member>>,
 }
 
 impl Members {
@@ -137,6 +143,13 @@
     fn refresh(&mut self) {
         let listed = self.listed().map(|host| host.member.clone());
         self.alive = Rc::new(listed.collect());
+        let hosts: Vec<&ListedHost> = self.listed().collect();
+        let regions: BTreeSet<&str> = hosts.iter().map(|h| h.member.region.as_str()).collect();
+        let readers = regions.into_iter().flat_map(|region| {
+            let of_region = hosts.iter().filter(|host| host.member.region == region);
+            strongest(&of_region.copied().collect::<Vec<_>>())
+        });
+        self.readers = Rc::new(readers.collect());
     }
 
     /// Returns the hosts that are listed, by name, with their sizes.
@@ -150,6 +163,11 @@
         Rc::clone(&self.alive)
     }
 
+    /// Returns the hosts that read the store for others, the strongest of each region.
+    pub(crate) fn readers(&self) -> Rc<Vec<Member>> {
+        Rc::clone(&self.readers)
+    }
+
     /// Returns whether a host is listed.
     pub(crate) fn is_listed(&self, id: &str) -> bool {
         self.hosts
@@ -165,3 +183,11 @@
         self.hosts.len().max(1)
     }
 }
+
+/// Returns the strongest of `hosts`.
+pub(crate) fn strongest(hosts: &[&ListedHost]) -> Vec<Member> {
+    let most = hosts.iter().map(|host| host.cpu_millis).max().unwrap_or(0);
+    let least = (f64::from(most) * STRONG_SHARE) as u32;
+    let strong = hosts.iter().filter(|host| host.cpu_millis >= least);
+    strong.map(|host| host.member.clone()).collect()
+}
--- a/crates/process/gateway/src/news.rs
+++ b/crates/process/gateway/src/news.rs
@@ -72,13 +72,13 @@
 
 impl Sources {
     /// Returns whom this host asks, and how old their knowledge may be.
-    fn duty(&mut self, own_id: &str, members: &[Member], now: Instant) -> (Vec<Member>, Duration) {
+    fn duty(&mut self, own: &Member, readers: &[Member], now: Instant) -> (Vec<Member>, Duration) {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < FAILURE_MEMORY;
         self.failed.retain(|_, at| is_recent(at));
         let is_cut = self
             .cut_at
             .is_some_and(|at| now.saturating_duration_since(at) < CUT_MEMORY);
-        let duty = reader_duty(own_id, members, is_cut);
+        let duty = reader_duty(own, readers, is_cut);
         let candidates = duty.candidates.into_iter();
         let sound = candidates.filter(|member| !self.failed.contains_key(&member.id));
         (sound.cloned().collect(), duty.patience)
@@ -138,8 +138,8 @@
 /// the first one of each region reads without waiting for another.
 async fn begin<A: Adapter>(shared: &Shared<A>, sources: &mut Sources) {
     let own = &shared.settings.member;
-    let members = shared.members.borrow().alive();
-    let duty = reader_duty(&own.id, &members, false);
+    let readers = shared.members.borrow().readers();
+    let duty = reader_duty(own, &readers, false);
     let near = duty
         .candidates
         .into_iter()
@@ -161,9 +161,9 @@
 async fn somebody_to_ask<A: Adapter>(shared: &Shared<A>, sources: &mut Sources) {
     loop {
         sleep(DUTY_PAUSE).await;
-        let members = shared.members.borrow().alive();
-        let own_id = &shared.settings.member.id;
-        let (candidates, _) = sources.duty(own_id, &members, Instant::now());
+        let readers = shared.members.borrow().readers();
+        let own = &shared.settings.member;
+        let (candidates, _) = sources.duty(own, &readers, Instant::now());
         if !candidates.is_empty() {
             return;
         }
@@ -172,9 +172,9 @@
 
 /// Takes the news of the first peer that has good ones; returns whether there was one.
 async fn ask_peers<A: Adapter>(shared: &Shared<A>, sources: &mut Sources) -> bool {
-    let members = shared.members.borrow().alive();
-    let own_id = &shared.settings.member.id;
-    let (candidates, patience) = sources.duty(own_id, &members, Instant::now());
+    let readers = shared.members.borrow().readers();
+    let own = &shared.settings.member;
+    let (candidates, patience) = sources.duty(own, &readers, Instant::now());
     for peer in candidates {
         match ask(shared, sources, &peer, patience).await {
             Ok(()) => return true,
--- a/crates/process/gateway/src/relay.rs
+++ b/crates/process/gateway/src/relay.rs
@@ -10,7 +10,7 @@
         answer::Piece,
         call::CallEnd,
         exchange::{Failed, Outgoing},
-        membership::ListedHost,
+        membership::{strongest, ListedHost},
         peer::{self, GatherCall, GatherReply, PROTOCOL_VERSION},
         serve::Job,
         shared::Shared,
@@ -47,9 +47,6 @@
 /// Hosts of a zone that relay. Few of them keep the connections to servers in
 /// use and see each server's state; two may be lost at the same time.
 const RELAYS_PER_ZONE: usize = 3;
-/// Least size of a relay beside the strongest host of its zone: a query over
-/// many shards takes a weak one longer than the servers.
-const STRONG_SHARE: f64 = 0.8;
 /// Time for which the rest of a reply is kept for a peer that comes for it.
 const REST_MEMORY: Duration = Duration::from_millis(200);
 /// Round trip to a relay until one is measured, a usual figure between regions.
@@ -142,10 +139,7 @@
             .push(host);
     }
     let set = |zone: &str, hosts: &[&ListedHost]| -> Vec<Member> {
-        let most = hosts.iter().map(|host| host.cpu_millis).max().unwrap_or(0);
-        let least = (f64::from(most) * STRONG_SHARE) as u32;
-        let strong = hosts.iter().filter(|host| host.cpu_millis >= least);
-        let strong: Vec<Member> = strong.map(|host| host.member.clone()).collect();
+        let strong = strongest(hosts);
         let set = relay_set(zone, &strong, RELAYS_PER_ZONE);
         set.into_iter().cloned().collect()
     };
