--- a/crates/process/gateway/src/run.rs
+++ b/crates/process/gateway/src/run.rs
@@ -40,10 +40,12 @@
 /// # Errors
 ///
 /// Returns an error if an address cannot be bound.
-pub async fn run<A: Adapter>(settings: Settings, keys: A::Keys) -> Result<RunningGateway<A>> {
+pub async fn run<A: Adapter>(mut settings: Settings, keys: A::Keys) -> Result<RunningGateway<A>> {
     let callers = bind("callers", settings.caller_addr).await?;
     let balancer = bind("the balancer", settings.ready_addr).await?;
     let peers = bind("peers", settings.member.peer_addr).await?;
+    // Peers need the port that was bound, which port 0 leaves to the system.
+    settings.member.peer_addr = peers.local_addr()?;
     let (caller_addr, ready_addr) = (callers.local_addr()?, balancer.local_addr()?);
     let shared = Rc::new(Shared::<A>::new(settings, keys));
     log::info!(
@@ -88,6 +90,11 @@
 }
 
 impl<A: Adapter> RunningGateway<A> {
+    /// Returns the number of connections to servers.
+    pub fn connections(&self) -> u32 {
+        self.shared.connections.borrow().held()
+    }
+
     /// Shuts the host down without cutting work in flight.
     pub async fn shut_down(self) {
         let life = &self.shared.life;
