--- a/crates/version/routing/tests/table.rs
+++ b/crates/version/routing/tests/table.rs
@@ -53,6 +53,9 @@
     }
 }
 
+/// Spoils a route that was sound.
+type Spoil = Box<dyn Fn(&mut RawRoute)>;
+
 #[test]
 fn routes_that_make_no_sense_are_refused_with_their_name() {
     let shards = |services: &[&str], min_share| RawTarget::Shards {
@@ -64,7 +67,7 @@
         let part = |weight: &f64| ("ledger".to_owned(), *weight);
         RawTarget::Split(weights.iter().map(part).collect())
     };
-    let cases: [(&str, Box<dyn Fn(&mut RawRoute)>); 9] = [
+    let cases: [(&str, Spoil); 9] = [
         ("no host", Box::new(|r| r.hostname.clear())),
         ("no prefix", Box::new(|r| r.prefix = "x/".to_owned())),
         ("no end", Box::new(|r| r.prefix = "/x".to_owned())),
