Tell of every request, further call and failure in JSON lines; metrics; slow heads

Metrics without names of routes or servers are on the address for the balancer and on a port of their own.

--- a/crates/bin/wharf/src/hosted.rs
+++ b/crates/bin/wharf/src/hosted.rs
@@ -3,7 +3,8 @@
 use {
     crate::stop_asked,
     anyhow::{Context, Result},
-    gateway::Settings,
+    clap::{value_parser, Arg, ArgAction, Command},
+    gateway::{RawSettings, Settings},
     platform::{read_settings, KvClient, Platform},
     std::path::Path,
     tokio::{
@@ -23,30 +24,76 @@
 ///
 /// Returns an error if the settings are not valid or an address cannot be bound.
 pub(crate) fn run(path: &Path) -> Result<()> {
-    let _logs = meter::start_json_logs(LOG_LEVELS)?;
-    let settings = Settings::try_from(read_settings(path)?)?;
+    let matches = command().get_matches();
+    let metrics_port = matches.get_one("metrics-port").copied();
+    let settings = settings(path, metrics_port)?;
+    if matches.get_flag("check") {
+        return Ok(());
+    }
+    let levels: &String = matches.get_one("log-levels").context("--log-levels")?;
+    let _logs = meter::start_json_logs(levels)?;
     // One thread: a host has a fraction of a core.
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(settings, path))
+    LocalSet::new().block_on(&runtime, serve(settings, path, metrics_port))
+}
+
+fn settings(path: &Path, metrics_port: Option<u16>) -> Result<Settings> {
+    let raw = RawSettings {
+        metrics_port,
+        ..read_settings(path)?
+    };
+    Settings::try_from(raw)
+}
+
+/// Returns the definition of the command line for a host that the platform starts.
+fn command() -> Command {
+    Command::new("wharf")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("One host of the query tier, started by the users' platform")
+        .after_help(
+            "The platform names the settings file in a variable. Without that variable, \
+             `wharf --help` tells the flags of a host that is started by hand. SIGTERM shuts the \
+             host down without cutting work in flight, SIGHUP checks the settings again.",
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .help("Check the settings and exit")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(
+            Arg::new("log-levels")
+                .long("log-levels")
+                .env("WHARF_LOG_LEVELS")
+                .help("Log levels, also for one part: info,upstream=debug")
+                .default_value(LOG_LEVELS),
+        )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .env("WHARF_METRICS_PORT")
+                .help("Port for metrics, beside the address for the balancer")
+                .value_parser(value_parser!(u16)),
+        )
 }
 
-async fn serve(settings: Settings, path: &Path) -> Result<()> {
+async fn serve(settings: Settings, path: &Path, metrics_port: Option<u16>) -> Result<()> {
     let keys = KvClient::new(settings.store_addr);
     let host = gateway::run::<Platform>(settings, keys).await?;
     select! {
         asked = stop_asked() => asked?,
-        failed = follow_settings(path) => failed?,
+        failed = follow_settings(path, metrics_port) => failed?,
     }
     host.shut_down().await;
     Ok(())
 }
 
 /// Checks the settings again whenever the process is told that they have changed.
-async fn follow_settings(path: &Path) -> Result<()> {
+async fn follow_settings(path: &Path, metrics_port: Option<u16>) -> Result<()> {
     let mut changed = signal(SignalKind::hangup()).context("SIGHUP")?;
     loop {
         changed.recv().await;
-        match read_settings(path).and_then(Settings::try_from) {
+        match settings(path, metrics_port) {
             Ok(_) => log::info!(target: "host", "The settings were read again."),
             Err(error) => log::error!(target: "host", "The settings are kept: {error:#}."),
         }
--- a/crates/process/gateway/src/adapter.rs
+++ b/crates/process/gateway/src/adapter.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    http::{request, response, HeaderMap, HeaderValue},
+    http::{response, HeaderMap, HeaderValue},
     kind::Result,
     replica::{Entry, ServerId, StatedLoad},
     routing::RawTable,
@@ -72,7 +72,7 @@
 /// Headers of requests and answers.
 pub trait Protocol: 'static {
     /// Reads what a caller asks for.
-    fn read_ask(head: &request::Parts) -> Ask;
+    fn read_ask_headers(headers: &HeaderMap) -> Ask;
 
     /// Writes the head of a request to `server` from that of the caller.
     fn server_headers(caller: &HeaderMap, server: &ServerId, time_left: Duration) -> HeaderMap;
--- a/crates/process/gateway/src/apply.rs
+++ b/crates/process/gateway/src/apply.rs
@@ -47,7 +47,7 @@
         return adopt(shared, item);
     }
     if let Some(id) = item.key.strip_prefix(A::Layout::SERVER_PREFIX) {
-        return learn(shared, id.into(), item);
+        return learn(shared, &id.into(), item);
     }
     item.key.strip_prefix(HOST_PREFIX)?;
     match serde_json::from_slice::<ListedHost>(&item.bytes) {
@@ -80,7 +80,7 @@
     Some(is_known)
 }
 
-fn learn<A: Adapter>(shared: &Shared<A>, id: ServerId, item: &Item) -> Option<bool> {
+fn learn<A: Adapter>(shared: &Shared<A>, id: &ServerId, item: &Item) -> Option<bool> {
     match A::Layout::read_server(id.clone(), &item.bytes) {
         Ok(entry) => {
             let standing = entry.standing;
--- a/crates/process/gateway/src/call.rs
+++ b/crates/process/gateway/src/call.rs
@@ -13,6 +13,7 @@
         Adapter,
     },
     link::Evidence,
+    meter::CallLabels,
     plan::AttemptId,
     replica::ReplicaKey,
     scatter::Call,
@@ -64,8 +65,13 @@
     match ended {
         Some(Ended { result, evidence }) => {
             open.end(evidence);
+            let outcome = match &result {
+                Ok(_) => "ok",
+                Err(failed) => failed.failure.reason.as_str(),
+            };
+            tell(&shared, &call, outcome, began.elapsed());
             if let Err(failed) = &result {
-                on_failed(&shared, &call, server, failed);
+                on_failed(&shared, &outgoing, &call, server, failed);
             }
             // The request may have ended without this call.
             let _ = ends.send((vec![call.attempt], result.map(Piece::Own)));
@@ -74,16 +80,39 @@
             // Nothing came for long: other connections of the same age may be silent too.
             shared.connections.borrow_mut().on_silence(server, began);
             open.end(Evidence::Cancelled(began.elapsed()));
+            tell(&shared, &call, "cancelled", began.elapsed());
         }
     }
 }
 
+fn tell<A: Adapter>(shared: &Shared<A>, call: &Call<Via>, outcome: &'static str, took: Duration) {
+    let labels = CallLabels {
+        cause: call.cause.as_str(),
+        outcome,
+    };
+    shared.metrics.on_call(labels, took);
+}
+
 fn on_failed<A: Adapter>(
     shared: &Shared<A>,
+    outgoing: &Outgoing,
     call: &Call<Via>,
     server: ReplicaKey,
     failed: &Failed,
 ) {
+    if shared.may_log("call") {
+        let replicas = shared.replicas.borrow();
+        log::info!(
+            target: "call",
+            id = outgoing.ask.id(),
+            cause = call.cause.as_str(),
+            service = &*call.service,
+            server = replicas.entry(server).map_or("-", |entry| &*entry.id),
+            reason = failed.failure.reason.as_str(),
+            ran = failed.failure.ran.as_str();
+            "A call failed."
+        );
+    }
     if failed.has_moved {
         log::info!(target: "upstream", "Another server has the address of {}.", call.service);
         shared.replicas.borrow_mut().on_moved(server);
--- a/crates/process/gateway/src/listen.rs
+++ b/crates/process/gateway/src/listen.rs
@@ -2,7 +2,12 @@
 
 use {
     crate::{
-        answer::Answer, connections::watch_for_silence, serve, shared::Shared, Adapter, Layout,
+        answer::Answer,
+        connections::watch_for_silence,
+        progress::{Progress, Watched},
+        serve,
+        shared::Shared,
+        Adapter, Layout,
     },
     bytes::Bytes,
     fleet::Phase,
@@ -22,6 +27,8 @@
 
 /// Pause after a failure to accept, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Path of the metrics, beside the question of the balancer.
+const METRICS_PATH: &str = "/metrics";
 /// Least buffer for the head of a request, as the HTTP library demands it.
 const MIN_HEADER_BYTES: usize = 8_192;
 
@@ -48,18 +55,32 @@
         log::debug!(target: "entry", "Connection not set up: {error}.");
         return;
     }
+    let progress = Progress::default();
     let service = service_fn(|request| {
         let shared = Rc::clone(&shared);
-        async move { Ok::<Answer, Infallible>(serve::handle(shared, request).await) }
+        let progress = progress.clone();
+        async move {
+            progress.on_request();
+            let answer = serve::handle(shared, request).await;
+            progress.on_answer();
+            Ok::<Answer, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_HEADER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(Watched::new(stream, progress.clone())),
+            service,
+        );
     let mut connection = pin!(connection);
     let ended = select! {
         ended = connection.as_mut() => ended,
+        () = progress.head_is_late(limits.header_timeout) => {
+            log::info!(target: "entry", "A caller's head took longer than {:?}.", limits.header_timeout);
+            return;
+        }
         () = shared.life.reached(Phase::Finishing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
@@ -89,15 +110,21 @@
     shared: &Shared<A>,
     request: &Request<Incoming>,
 ) -> impl Future<Output = Result<Response<Full<Bytes>>, Infallible>> {
-    let status = if request.uri().path() != A::Layout::READY_PATH {
-        StatusCode::NOT_FOUND
-    } else if shared.life.phase() == Phase::Ready {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    };
+    let path = request.uri().path();
     let mut answer = Response::new(Full::default());
-    *answer.status_mut() = status;
+    if path == METRICS_PATH {
+        match shared.metrics.expose() {
+            Ok(text) => *answer.body_mut() = Full::from(text),
+            Err(error) => {
+                log::error!(target: "host", "The metrics cannot be told: {error:#}.");
+                *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            }
+        }
+    } else if path != A::Layout::READY_PATH {
+        *answer.status_mut() = StatusCode::NOT_FOUND;
+    } else if shared.life.phase() != Phase::Ready {
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
     std::future::ready(Ok(answer))
 }
 
--- a/crates/process/gateway/src/relay.rs
+++ b/crates/process/gateway/src/relay.rs
@@ -299,7 +299,7 @@
             (ran, has_rest)
         }
         Some(Err(error)) => {
-            log::info!(target: "relay", "Query {} not relayed: {error}.", outgoing.ask.id());
+            log::info!(target: "relay", id = outgoing.ask.id(), parts = relayed.calls.len(); "Query not relayed: {error}.");
             (error.ran(), false)
         }
     };
@@ -532,7 +532,7 @@
         let value = HeaderValue::from_bytes(value).map_err(|_| bad("value of a header"))?;
         head.headers.append(name, value);
     }
-    let ask = A::Protocol::read_ask(&head);
+    let ask = A::Protocol::read_ask_headers(&head.headers);
     Ok(Outgoing {
         head,
         body: call.body.into(),
--- a/crates/process/gateway/src/run.rs
+++ b/crates/process/gateway/src/run.rs
@@ -47,19 +47,29 @@
     // Peers need the port that was bound, which port 0 leaves to the system.
     settings.member.peer_addr = peers.local_addr()?;
     let (caller_addr, ready_addr) = (callers.local_addr()?, balancer.local_addr()?);
-    let shared = Rc::new(Shared::<A>::new(settings, keys));
+    let metrics = match settings.metrics_addr {
+        Some(addr) => Some(bind("metrics", addr).await?),
+        None => None,
+    };
+    let shared = Rc::new(Shared::<A>::new(settings, keys)?);
     log::info!(
         target: "host",
         "Host {} in {} listens on {caller_addr} (callers) and {ready_addr} (balancer).",
         shared.settings.member.id, shared.settings.member.zone
     );
-    let tasks = vec![
+    let mut tasks = vec![
         spawn_local(listen::serve_callers(Rc::clone(&shared), callers)),
         spawn_local(listen::serve_balancer(Rc::clone(&shared), balancer)),
         spawn_local(peer::serve(Rc::clone(&shared), peers)),
         spawn_local(news::follow(Rc::clone(&shared))),
         spawn_local(keep_up(Rc::clone(&shared))),
     ];
+    if let Some(listener) = metrics {
+        tasks.push(spawn_local(listen::serve_balancer(
+            Rc::clone(&shared),
+            listener,
+        )));
+    }
     Ok(RunningGateway {
         caller_addr,
         ready_addr,
@@ -79,6 +89,7 @@
         sleep(UPKEEP_PAUSE).await;
         let now = Instant::now();
         shared.on_members();
+        tell_state(&shared, now);
         for key in shared.replicas.borrow_mut().take_gone(now) {
             shared.connections.borrow_mut().forget(key);
         }
@@ -89,6 +100,22 @@
     }
 }
 
+fn tell_state<A: Adapter>(shared: &Shared<A>, now: Instant) {
+    for (part, count) in shared.lines.borrow_mut().take_dropped() {
+        log::warn!(target: "host", part, count; "Lines of a part were over their budget.");
+        shared.metrics.on_lines_dropped(part, count);
+    }
+    let version = shared.table().map_or(0, |table| table.version());
+    let servers = shared.replicas.borrow().len();
+    let connections = shared.connections.borrow().held();
+    shared
+        .metrics
+        .on_state(version, shared.hosts.get(), servers, connections);
+    if let Some(age) = shared.catalog.borrow().age(now) {
+        shared.metrics.on_knowledge(age);
+    }
+}
+
 impl<A: Adapter> RunningGateway<A> {
     /// Returns the number of connections to servers.
     pub fn connections(&self) -> u32 {
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -16,6 +16,7 @@
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
     kind::{Error, Kind, Ran, Result},
+    meter::RequestLabels,
     replica::ReplicaKey,
     routing::{Route, ServiceName, ShardSet, Table, Target},
     scatter::{Action, Call, Cause, Event, Outcome, Plan, Query},
@@ -52,14 +53,25 @@
 ) -> Answer {
     let began = Instant::now();
     let _in_flight = shared.life.hold();
-    let result = run(&shared, request, began).await;
+    let id = A::Protocol::read_ask_headers(request.headers())
+        .id()
+        .to_owned();
+    let mut told = Told::default();
+    let result = run(&shared, request, began, &mut told).await;
+    told.outcome = match &result {
+        Ok(_) if told.missing > 0 => "partial",
+        Ok(_) => "ok",
+        Err(error) => error.kind().answer().name,
+    };
     let mut answer = match result {
         Ok(answer) => answer,
         Err(error) => {
-            log::info!(target: "entry", "Request refused: {error} (ran {}).", error.ran().as_str());
+            told.detail = error.detail().to_owned();
+            told.ran = error.ran().as_str();
             answer::refused(&error)
         }
     };
+    told.tell(&shared, &id, &answer, began.elapsed());
     if shared.life.phase() > fleet::Phase::Ready {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
@@ -71,6 +83,7 @@
     shared: &Rc<Shared<A>>,
     request: Request<Incoming>,
     began: Instant,
+    told: &mut Told,
 ) -> Result<Answer> {
     let table = shared.table().ok_or_else(|| {
         Error::new(Kind::NotReady, "no configuration is known yet")
@@ -78,7 +91,10 @@
     })?;
     let (head, body) = request.into_parts();
     let route = find_route(&table, &head)?;
-    let ask = A::Protocol::read_ask(&head);
+    told.route = Arc::clone(&route.name);
+    told.rank = route.priority;
+    told.version = table.version();
+    let ask = A::Protocol::read_ask_headers(&head.headers);
     let time_left = ask.time_left.unwrap_or(route.timeout).min(route.timeout);
     let deadline = began + time_left;
     let body = read_body(body, &table, deadline).await?;
@@ -97,13 +113,13 @@
         relaying: Relaying::None,
     };
     match &route.target {
-        Target::One(service) => job.one(service, began).await,
+        Target::One(service) => job.one(service, began, told).await,
         Target::Split(parts) => {
             let service = shared.splits.borrow_mut().next(&route.name, parts);
             let service = service.ok_or_else(|| Error::new(Kind::Internal, "empty split"))?;
-            job.one(&service, began).await
+            job.one(&service, began, told).await
         }
-        Target::Shards(set) => job.shards(set, began).await,
+        Target::Shards(set) => job.shards(set, began, told).await,
     }
 }
 
@@ -136,6 +152,46 @@
     }
 }
 
+/// What is told of a request once it has ended.
+#[derive(Default)]
+struct Told {
+    route: Arc<str>,
+    rank: u32,
+    version: u64,
+    parts: usize,
+    missing: usize,
+    outcome: &'static str,
+    ran: &'static str,
+    detail: String,
+}
+
+impl Told {
+    fn tell<A: Adapter>(&self, shared: &Shared<A>, id: &str, answer: &Answer, took: Duration) {
+        let labels = RequestLabels {
+            rank: self.rank,
+            outcome: self.outcome,
+        };
+        shared.metrics.on_request(labels, took);
+        if !shared.may_log("request") {
+            return;
+        }
+        log::info!(
+            target: "request",
+            id,
+            route = &*self.route,
+            version = self.version,
+            status = answer.status().as_u16(),
+            outcome = self.outcome,
+            took_ms = took.as_millis() as u64,
+            parts = self.parts,
+            missing = self.missing,
+            ran = self.ran,
+            detail = &*self.detail;
+            "Request ended."
+        );
+    }
+}
+
 /// One request with what it needs.
 pub(crate) struct Job<'a, A: Adapter> {
     pub(crate) shared: &'a Rc<Shared<A>>,
@@ -146,7 +202,7 @@
 }
 
 impl<A: Adapter> Job<'_, A> {
-    async fn one(&self, service: &ServiceName, began: Instant) -> Result<Answer> {
+    async fn one(&self, service: &ServiceName, began: Instant, told: &mut Told) -> Result<Answer> {
         let deadline = self.answer_by(began);
         let plan = Plan {
             deadline,
@@ -161,6 +217,7 @@
         };
         let services = [service.clone()];
         let (outcome, own_failure) = self.ask(plan, &services).await;
+        told.parts = 1;
         if let (Some(reply), Ran::Yes, false) = (own_failure, outcome.ran, outcome.is_enough) {
             // The server's own failure says more than one of this host could.
             return Ok(answer::passed_on::<A>(reply));
@@ -173,7 +230,7 @@
         }
     }
 
-    async fn shards(mut self, set: &ShardSet, began: Instant) -> Result<Answer> {
+    async fn shards(mut self, set: &ShardSet, began: Instant, told: &mut Told) -> Result<Answer> {
         let deadline = self.answer_by(began);
         let answer_at = began + self.route.target_latency.saturating_sub(ANSWER_MARGIN);
         let plan = Plan {
@@ -189,6 +246,11 @@
         };
         self.relaying = Relaying::First(plan.answer_at.saturating_duration_since(began));
         let (outcome, _) = self.ask(plan, &set.services).await;
+        told.parts = outcome.parts;
+        told.missing = outcome.missing.len();
+        for (_, reason) in &outcome.missing {
+            self.shared.metrics.on_missing_part(reason.as_str());
+        }
         if !outcome.is_enough {
             return Err(answer::shortfall(&outcome, RETRY_AFTER));
         }
@@ -272,7 +334,28 @@
         true
     }
 
+    fn tell_extra(&self, call: &Call<Via>, server: ReplicaKey) {
+        if !self.shared.may_log("call") {
+            return;
+        }
+        let replicas = self.shared.replicas.borrow();
+        let server = replicas.entry(server).map_or("-", |entry| &*entry.id);
+        log::info!(
+            target: "call",
+            id = self.outgoing.ask.id(),
+            cause = call.cause.as_str(),
+            service = &*call.service,
+            server,
+            expected_ms = call.expected.as_millis() as u64,
+            extras_left = self.shared.extras.borrow().left(&call.service);
+            "A further server is called."
+        );
+    }
+
     fn call(&self, call: Call<Via>, server: ReplicaKey, ends: &UnboundedSender<CallEnd>) {
+        if call.cause != Cause::First {
+            self.tell_extra(&call, server);
+        }
         if call.cause == Cause::First {
             let mut extras = self.shared.extras.borrow_mut();
             extras.on_first(&call.service, Instant::now());
--- a/crates/process/gateway/src/settings.rs
+++ b/crates/process/gateway/src/settings.rs
@@ -32,6 +32,8 @@
     pub peer_addr: String,
     /// Address of the store.
     pub store_addr: String,
+    /// Port for metrics beside the address for the balancer, if any.
+    pub metrics_port: Option<u16>,
     /// Extra calls that a service bears for each request, from 0 to 1.
     pub retry_ratio: f64,
     /// Further extra calls that a service bears in any window.
@@ -55,6 +57,8 @@
     pub ready_addr: SocketAddr,
     /// Address of the store.
     pub store_addr: SocketAddr,
+    /// Further address for metrics, if any.
+    pub metrics_addr: Option<SocketAddr>,
     /// Extra calls that all hosts together may make.
     pub allowance: Allowance,
     /// Share of a core that the host has, in thousandths.
@@ -91,7 +95,12 @@
         let max_drain = shutdown.mul_f64(DRAIN_SHARE);
         let region = raw.regions.get(&raw.zone).cloned();
         let region = region.with_context(|| format!("the zone {} has no region", raw.zone))?;
+        let ready_addr = addr("address for the balancer", &raw.ready_addr)?;
+        let metrics_addr = raw
+            .metrics_port
+            .map(|port| SocketAddr::new(ready_addr.ip(), port));
         Ok(Self {
+            metrics_addr,
             member: Member {
                 id: raw.host_id,
                 peer_addr: addr("address for peers", &raw.peer_addr)?,
@@ -106,7 +115,7 @@
                     .collect::<HashMap<ZoneId, RegionId>>(),
             },
             caller_addr: addr("address for callers", &raw.caller_addr)?,
-            ready_addr: addr("address for the balancer", &raw.ready_addr)?,
+            ready_addr,
             store_addr: addr("address of the store", &raw.store_addr)?,
             allowance: Allowance {
                 ratio: raw.retry_ratio,
--- a/crates/process/gateway/src/shared.rs
+++ b/crates/process/gateway/src/shared.rs
@@ -2,11 +2,13 @@
 
 use {
     crate::{
-        catalog::Catalog, connections::Connections, membership::Members, peer::Peers,
+        catalog::Catalog, connections::Connections, lines::Lines, membership::Members, peer::Peers,
         relay::Relays, Adapter, Settings,
     },
+    anyhow::Result,
     fleet::LifeEvent,
     life::LifeWatch,
+    meter::ForwardingMetrics,
     replica::{Replicas, Works},
     routing::Table,
     scatter::{Extras, Splits},
@@ -37,14 +39,23 @@
     pub(crate) relays: RefCell<Relays>,
     pub(crate) catalog: RefCell<Catalog>,
     pub(crate) has_news: Notify,
+    pub(crate) metrics: ForwardingMetrics,
+    pub(crate) lines: RefCell<Lines>,
     pub(crate) hosts: Cell<usize>,
     pub(crate) has_servers: Cell<bool>,
     last_call: Cell<u64>,
 }
 
 impl<A: Adapter> Shared<A> {
-    pub(crate) fn new(settings: Settings, keys: A::Keys) -> Self {
-        Self {
+    /// Creates the state of a host that starts.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the metrics cannot be set up.
+    pub(crate) fn new(settings: Settings, keys: A::Keys) -> Result<Self> {
+        Ok(Self {
+            metrics: ForwardingMetrics::new()?,
+            lines: RefCell::default(),
             keys,
             life: Arc::default(),
             table: RefCell::default(),
@@ -62,7 +73,7 @@
             has_servers: Cell::new(false),
             last_call: Cell::new(0),
             settings,
-        }
+        })
     }
 
     /// Returns the configuration in force; a request takes it once and keeps it.
@@ -91,6 +102,11 @@
         self.catalog.borrow().age(Instant::now()).is_some()
     }
 
+    /// Returns whether `part` may write one more line about a request.
+    pub(crate) fn may_log(&self, part: &'static str) -> bool {
+        self.lines.borrow_mut().may_write(part, Instant::now())
+    }
+
     /// Lets the host take work once it knows configuration and servers.
     pub(crate) fn check_ready(&self) {
         if self.table.borrow().is_some() && self.has_servers.get() {
--- a/crates/process/meter/src/logs.rs
+++ b/crates/process/meter/src/logs.rs
@@ -6,7 +6,8 @@
 use {
     anyhow::{Context, Result},
     flexi_logger::{json_format, DeferredNow, Logger, LoggerHandle},
-    log::Record,
+    log::{kv, Record},
+    serde_json::{Map, Value},
     std::{io, str::FromStr},
 };
 
@@ -40,7 +41,7 @@
 pub fn start_json_logs(level: &str) -> Result<LoggerHandle> {
     Logger::try_with_str(level)
         .context("the log level is not valid")?
-        .format(json_format)
+        .format(write_json)
         .log_to_stdout()
         .start()
         .context("the logger does not start")
@@ -77,3 +78,36 @@
         record.args()
     )
 }
+
+/// Writes a JSON object: the time, the level, the part, the sentence, and the
+/// values that the line carries under their own names.
+fn write_json(
+    out: &mut dyn io::Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> io::Result<()> {
+    let mut line = Map::new();
+    let time = now.format("%Y-%m-%dT%H:%M:%S%.3fZ").to_string();
+    line.insert("time".to_owned(), Value::from(time));
+    line.insert("level".to_owned(), Value::from(record.level().as_str()));
+    line.insert("part".to_owned(), Value::from(record.target()));
+    line.insert("text".to_owned(), Value::from(record.args().to_string()));
+    // A value that cannot be read is left out; the sentence stays.
+    let _ = record.key_values().visit(&mut Values(&mut line));
+    serde_json::to_writer(out, &line).map_err(io::Error::other)
+}
+
+struct Values<'a>(&'a mut Map<String, Value>);
+
+impl<'kvs> kv::VisitSource<'kvs> for Values<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let value = value
+            .to_u64()
+            .map(Value::from)
+            .or_else(|| value.to_f64().map(Value::from))
+            .or_else(|| value.to_bool().map(Value::from))
+            .unwrap_or_else(|| Value::from(value.to_string()));
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
--- a/crates/process/meter/src/metrics.rs
+++ b/crates/process/meter/src/metrics.rs
@@ -13,7 +13,7 @@
 };
 
 /// Bounds of the latency histogram, in milliseconds.
-const LATENCY_BOUNDS_MS: [f64; 16] = [
+pub(crate) const LATENCY_BOUNDS_MS: [f64; 16] = [
     1.0, 2.0, 5.0, 10.0, 20.0, 30.0, 50.0, 75.0, 100.0, 150.0, 180.0, 250.0, 500.0, 1_000.0,
     2_500.0, 10_000.0,
 ];
