--- a/crates/bin/wharfctl/src/command.rs
+++ b/crates/bin/wharfctl/src/command.rs
@@ -55,6 +55,7 @@
         )
         .subcommand(query())
         .subcommand(load())
+        .subcommand(crate::trace::command())
 }
 
 fn query() -> Command {
--- a/crates/bin/wharfctl/src/main.rs
+++ b/crates/bin/wharfctl/src/main.rs
@@ -12,6 +12,7 @@
 mod record_command;
 mod records;
 mod table;
+mod trace;
 
 use {anyhow::Result, clap::ArgMatches, std::process::ExitCode};
 
@@ -38,6 +39,7 @@
         Some(("records", matches)) => records::list(matches).await,
         Some(("fleet", matches)) => records::fleet(matches).await,
         Some(("query", matches)) => query::run(matches).await,
+        Some(("trace", matches)) => trace::run(matches),
         Some(("load", matches)) => load::run(matches).await,
         // The command line demands a subcommand.
         _ => Ok(()),
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -40,6 +40,8 @@
 const IN_TIME_SLACK: Duration = Duration::from_millis(6);
 /// Least time by which a call is late before it is hedged.
 pub(crate) const HEDGE_AFTER: Duration = Duration::from_millis(15);
+/// Missing shards that the line of a request names; the rest is a number there.
+const MAX_NAMED_SHARDS: usize = 8;
 /// Time after which a caller may come back to a service that refuses: a few
 /// requests long.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -152,6 +154,13 @@
     }
 }
 
+/// Names some of the shards that an answer lacks, and why.
+fn missing_shards<R>(outcome: &Outcome<R>) -> String {
+    let named = outcome.missing.iter().take(MAX_NAMED_SHARDS);
+    let named = named.map(|(shard, reason)| format!("{shard} {}", reason.as_str()));
+    named.collect::<Vec<_>>().join(", ")
+}
+
 /// What is told of a request once it has ended.
 #[derive(Default)]
 struct Told {
@@ -251,6 +260,7 @@
         for (_, reason) in &outcome.missing {
             self.shared.metrics.on_missing_part(reason.as_str());
         }
+        told.detail = missing_shards(&outcome);
         if !outcome.is_enough {
             return Err(answer::shortfall(&outcome, RETRY_AFTER));
         }
--- /dev/null
+++ b/crates/process/meter/tests/operations_page.rs
@@ -0,0 +1,47 @@
+//! The page on failures names the metrics that a forwarding host exposes, and no others.
+
+use {
+    anyhow::Result,
+    meter::{CallLabels, ForwardingMetrics, RequestLabels},
+    std::{collections::BTreeSet, fs, time::Duration},
+};
+
+const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../../docs/OPERATIONS.md");
+const PREFIX: &str = "wharf_";
+
+/// Returns the names of metrics in a text, without the suffix of counters.
+fn names(text: &str) -> BTreeSet<String> {
+    let is_part = |c: char| c.is_ascii_lowercase() || c == '_';
+    let words = text.split(|c: char| !is_part(c));
+    let names = words.filter(|word| word.starts_with(PREFIX));
+    let names = names.map(|name| name.strip_suffix("_total").unwrap_or(name).to_owned());
+    names.collect()
+}
+
+#[test]
+fn the_page_names_every_metric_and_no_other() -> Result<()> {
+    let metrics = ForwardingMetrics::new()?;
+    let time = Duration::from_millis(7);
+    let request = RequestLabels {
+        rank: 0,
+        outcome: "ok",
+    };
+    let call = CallLabels {
+        cause: "first",
+        outcome: "ok",
+    };
+    metrics.on_request(request, time);
+    metrics.on_call(call, time);
+    metrics.on_missing_part("not-awaited");
+    metrics.on_lines_dropped("call", 1);
+    metrics.on_state(7, 8, 53, 100);
+    metrics.on_knowledge(time);
+    let exposition = metrics.expose()?;
+    let types = exposition
+        .lines()
+        .filter(|line| line.starts_with("# TYPE "));
+    let exposed = names(&types.collect::<Vec<_>>().join("\n"));
+    assert_eq!(exposed, names(&fs::read_to_string(PAGE)?));
+    assert_eq!(exposed.len(), 9);
+    Ok(())
+}
