--- a/crates/process/gateway/src/lib.rs
+++ b/crates/process/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod connections;
 mod exchange;
 mod follow;
+mod gathering;
 mod lines;
 mod listen;
 mod membership;
--- a/crates/process/gateway/src/peer.rs
+++ b/crates/process/gateway/src/peer.rs
@@ -6,7 +6,7 @@
 //! other one does the work itself.
 
 use {
-    crate::{connections::watch_for_silence, news, relay, shared::Shared, Adapter},
+    crate::{connections::watch_for_silence, gathering, news, shared::Shared, Adapter},
     futures::StreamExt,
     kind::{Error, Kind, Result},
     serde::{Deserialize, Serialize},
@@ -136,11 +136,11 @@
 
     async fn gather(self, _: Context, call: GatherCall) -> Result<GatherReply> {
         check_version(call.protocol_version)?;
-        relay::gather(&self.0, call).await
+        gathering::gather(&self.0, call).await
     }
 
     async fn rest(self, _: Context, number: u64) -> Result<GatherReply> {
-        relay::rest(&self.0, number).await
+        gathering::rest(&self.0, number).await
     }
 }
 
--- a/crates/process/gateway/src/relay.rs
+++ b/crates/process/gateway/src/relay.rs
@@ -6,27 +6,25 @@
 
 use {
     crate::{
-        adapter::Reply,
         answer::Piece,
         call::CallEnd,
         exchange::{Failed, Outgoing},
         membership::{strongest, ListedHost},
         peer::{self, GatherCall, GatherReply, PROTOCOL_VERSION},
-        serve::Job,
         shared::Shared,
-        view::{Relaying, Via},
+        view::Via,
         Adapter, Protocol,
     },
     bytes::Bytes,
-    fleet::{relay_count, relay_set, Choice, Member, Outcome, Phase, RelayLimits},
-    http::{HeaderName, HeaderValue, Method, Request, Uri},
+    fleet::{relay_count, relay_set, Choice, Member, Outcome, RelayLimits},
+    http::HeaderValue,
     kind::{Error, Kind, Ran, Result},
     link::connection_share,
     plan::Reason,
     record::{HostId, ZoneId},
     replica::Distance,
-    routing::{Route, ServiceName, Table, Target},
-    scatter::{greatest_records, Bundle, Call, Failure, Plan},
+    routing::{Route, ServiceName},
+    scatter::{Call, Failure},
     std::{
         collections::HashMap,
         rc::Rc,
@@ -36,8 +34,7 @@
     tokio::{
         select,
         sync::{mpsc::UnboundedSender, oneshot},
-        task::spawn_local,
-        time::{sleep, sleep_until},
+        time::sleep_until,
     },
 };
 
@@ -47,8 +44,6 @@
 /// Hosts of a zone that relay. Few of them keep the connections to servers in
 /// use and see each server's state; two may be lost at the same time.
 const RELAYS_PER_ZONE: usize = 3;
-/// Time for which the rest of a reply is kept for a peer that comes for it.
-const REST_MEMORY: Duration = Duration::from_millis(200);
 /// Round trip to a relay until one is measured, a usual figure between regions.
 const ROUND_TRIP: Duration = Duration::from_millis(25);
 /// Time for which an answer waits in the processes on its way.
@@ -67,7 +62,7 @@
     /// The same in the order of each service, made when it is first asked for.
     orders: HashMap<(ZoneId, ServiceName), Vec<Member>>,
     /// What is still to come of replies of this host.
-    rests: HashMap<u64, oneshot::Receiver<GatherReply>>,
+    pub(crate) rests: HashMap<u64, oneshot::Receiver<GatherReply>>,
 }
 
 impl Relays {
@@ -369,175 +364,3 @@
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
-
-/// Asks servers near this host for the parts that a peer wants.
-///
-/// # Errors
-///
-/// Returns an error with `ran: no` if the peer has to ask for itself.
-pub(crate) async fn gather<A: Adapter>(
-    shared: &Rc<Shared<A>>,
-    call: GatherCall,
-) -> Result<GatherReply> {
-    let _in_flight = shared.life.hold();
-    if shared.life.phase() > Phase::Leaving {
-        return Err(Error::new(Kind::Draining, "the relay is leaving"));
-    }
-    let table = shared
-        .table()
-        .filter(|table| table.version() == call.table_version);
-    let table = table.ok_or_else(|| Error::new(Kind::UnknownVersion, "another one is in force"))?;
-    let route = table.route(&call.route).cloned();
-    let route = route.ok_or_else(|| Error::new(Kind::UnknownRoute, call.route.clone()))?;
-    let Target::Shards(set) = &route.target else {
-        return Err(Error::new(Kind::UnknownRoute, "the route has no shards"));
-    };
-    let now = Instant::now();
-    let deadline = now + Duration::from_millis(call.time_left_ms.into());
-    let answer_at = now + Duration::from_millis(call.answer_in_ms.into());
-    let positions = call.positions.iter().map(|position| usize::from(*position));
-    let services: Option<Vec<ServiceName>> = positions
-        .map(|position| set.services.get(position).cloned())
-        .collect();
-    let services = services.ok_or_else(|| Error::new(Kind::BadPeer, "there are fewer shards"))?;
-    let gathering = Gathering {
-        keep_records: set.keep_records,
-        positions: call.positions.clone(),
-        max_attempts: usize::from(call.max_attempts).min(route.max_attempts),
-        outgoing: Rc::new(outgoing::<A>(call, deadline)?),
-        table,
-        route: Arc::clone(&route),
-        services,
-        answer_at: answer_at.min(deadline),
-        deadline,
-    };
-    let (first, first_end) = oneshot::channel();
-    let (rest, rest_end) = oneshot::channel();
-    spawn_local(gathering.run(Rc::clone(shared), first, rest));
-    let mut reply = first_end
-        .await
-        .map_err(|_| Error::new(Kind::Internal, "no end"))?;
-    if reply.rest.is_some() {
-        let number = shared.next_call();
-        reply.rest = Some(number);
-        shared.relays.borrow_mut().rests.insert(number, rest_end);
-        let shared = Rc::clone(shared);
-        spawn_local(async move {
-            sleep(REST_MEMORY).await;
-            shared.relays.borrow_mut().rests.remove(&number);
-        });
-    }
-    Ok(reply)
-}
-
-/// Waits for the parts that were missing from a reply of this host.
-///
-/// # Errors
-///
-/// Returns [`Kind::NotFound`] if nothing is kept under `number`.
-pub(crate) async fn rest<A: Adapter>(shared: &Rc<Shared<A>>, number: u64) -> Result<GatherReply> {
-    let _in_flight = shared.life.hold();
-    let gone = || Error::new(Kind::NotFound, "the rest is gone").with_ran(Ran::Unknown);
-    let end = shared.relays.borrow_mut().rests.remove(&number);
-    end.ok_or_else(gone)?.await.map_err(|_| gone())
-}
-
-/// The parts of a query that this host asks for in place of a peer.
-struct Gathering {
-    table: Arc<Table>,
-    route: Arc<Route>,
-    outgoing: Rc<Outgoing>,
-    services: Vec<ServiceName>,
-    /// Position of each part within the route.
-    positions: Vec<u16>,
-    keep_records: usize,
-    max_attempts: usize,
-    answer_at: Instant,
-    deadline: Instant,
-}
-
-impl Gathering {
-    /// Sends what there is in time, and what comes late after it, while somebody waits.
-    async fn run<A: Adapter>(
-        self,
-        shared: Rc<Shared<A>>,
-        first: oneshot::Sender<GatherReply>,
-        mut rest: oneshot::Sender<GatherReply>,
-    ) {
-        let job = Job {
-            shared: &shared,
-            table: &self.table,
-            route: &self.route,
-            outgoing: &self.outgoing,
-            relaying: Relaying::Own,
-        };
-        let plan = Plan {
-            deadline: self.deadline,
-            answer_at: self.deadline,
-            in_time_until: self.deadline,
-            late_answer_at: self.deadline,
-            // The peer knows what is enough, over the parts of all relays.
-            min_share: 0.0,
-            max_attempts: self.max_attempts,
-            is_repeatable: true,
-            hedge_after: Some(crate::serve::HEDGE_AFTER),
-            hedge_until: Some(self.answer_at),
-        };
-        let mut running = job.begin(plan, &self.services);
-        let has_ended = running.run(&job, Some(self.answer_at)).await;
-        let reply = self.reply(running.query.take_bundles(), !has_ended);
-        if first.send(reply).is_err() || has_ended {
-            return;
-        }
-        select! {
-            _ = running.run(&job, None) => {}
-            () = rest.closed() => return,
-        }
-        let reply = self.reply(running.query.take_bundles(), false);
-        // Nobody may wait any more.
-        let _ = rest.send(reply);
-    }
-
-    fn reply(&self, bundles: Vec<Bundle<Piece>>, has_rest: bool) -> GatherReply {
-        let mut proofs = Vec::with_capacity(bundles.len());
-        let mut bodies = Vec::with_capacity(bundles.len());
-        for bundle in bundles {
-            let Piece::Own(Reply { word, body, .. }) = bundle.reply else {
-                continue;
-            };
-            if let (Some(proof), Some(index)) = (word.proof, bundle.positions.first()) {
-                proofs.push((self.positions[*index], proof.as_bytes().to_vec()));
-                bodies.push(body);
-            }
-        }
-        GatherReply {
-            proofs,
-            records: greatest_records(&bodies, self.keep_records).to_vec(),
-            may_have_run: true,
-            // The number is given once the reply goes out.
-            rest: has_rest.then_some(0),
-        }
-    }
-}
-
-fn outgoing<A: Adapter>(call: GatherCall, deadline: Instant) -> Result<Outgoing> {
-    let bad = |what: &str| Error::new(Kind::BadPeer, format!("the {what} cannot be read"));
-    let method: Method = call.method.parse().map_err(|_| bad("method"))?;
-    let uri: Uri = call.path.parse().map_err(|_| bad("path"))?;
-    let (mut head, ()) = Request::new(()).into_parts();
-    head.method = method;
-    head.uri = uri;
-    for (name, value) in &call.headers {
-        let name: HeaderName = name.parse().map_err(|_| bad("name of a header"))?;
-        let value = HeaderValue::from_bytes(value).map_err(|_| bad("value of a header"))?;
-        head.headers.append(name, value);
-    }
-    let ask = A::Protocol::read_ask_headers(&head.headers);
-    Ok(Outgoing {
-        head,
-        body: call.body.into(),
-        ask,
-        deadline,
-        needs_success: true,
-    })
-}
--- a/crates/process/meter/src/forwarding.rs
+++ b/crates/process/meter/src/forwarding.rs
@@ -4,14 +4,12 @@
 //! routes, services or servers, of which a configuration may bring hundreds.
 
 use {
-    crate::metrics::LATENCY_BOUNDS_MS,
+    crate::{exposition::Exposition, metrics::LATENCY_BOUNDS_MS},
     anyhow::Result,
     opentelemetry::{
-        metrics::{Counter, Gauge, Histogram, MeterProvider},
+        metrics::{Counter, Gauge, Histogram},
         KeyValue,
     },
-    opentelemetry_sdk::metrics::SdkMeterProvider,
-    prometheus::{Encoder, Registry, TextEncoder},
     std::time::Duration,
 };
 
@@ -35,9 +33,7 @@
 
 /// Instruments of a host that forwards.
 pub struct ForwardingMetrics {
-    registry: Registry,
-    // Dropping the provider would end the export.
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     request_ms: Histogram<f64>,
     call_ms: Histogram<f64>,
     missing_parts: Counter<u64>,
@@ -56,12 +52,8 @@
     ///
     /// Returns an error if the exporter cannot be registered.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("wharf");
+        let exposition = Exposition::new()?;
+        let meter = exposition.meter();
         let latency = |name: &'static str, text: &'static str| {
             let histogram = meter.f64_histogram(name).with_description(text);
             histogram
@@ -102,8 +94,7 @@
                 "wharf_knowledge_age_ms",
                 "Age of what is known of the store",
             ),
-            registry,
-            _provider: provider,
+            exposition,
         })
     }
 
@@ -159,8 +150,6 @@
     ///
     /// Returns an error if a metric cannot be written as text.
     pub fn expose(&self) -> Result<String> {
-        let mut bytes = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut bytes)?;
-        Ok(String::from_utf8(bytes)?)
+        self.exposition.text()
     }
 }
--- a/crates/process/meter/src/lib.rs
+++ b/crates/process/meter/src/lib.rs
@@ -3,6 +3,7 @@
 //! Metrics go through opentelemetry and come out as a Prometheus exposition.
 //! Logs are short sentences behind a prefix that names the part.
 
+mod exposition;
 mod forwarding;
 mod logs;
 mod metrics;
--- a/crates/process/meter/src/metrics.rs
+++ b/crates/process/meter/src/metrics.rs
@@ -1,13 +1,12 @@
 //! Metrics of the process.
 
 use {
+    crate::exposition::Exposition,
     anyhow::Result,
     opentelemetry::{
-        metrics::{Counter, Gauge, Histogram, MeterProvider},
+        metrics::{Counter, Gauge, Histogram},
         KeyValue,
     },
-    opentelemetry_sdk::metrics::SdkMeterProvider,
-    prometheus::{Encoder, Registry, TextEncoder},
     record::Rank,
     std::time::Duration,
 };
@@ -42,9 +41,7 @@
 
 /// Instruments of a host.
 pub struct Metrics {
-    registry: Registry,
-    // Dropping the provider would end the export.
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     query_latency_ms: Histogram<f64>,
     leaf_calls: Counter<u64>,
     leaf_latency_ms: Histogram<f64>,
@@ -68,12 +65,8 @@
     ///
     /// Returns an error if the exporter cannot be registered.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("wharf");
+        let exposition = Exposition::new()?;
+        let meter = exposition.meter();
         Ok(Self {
             query_latency_ms: meter
                 .f64_histogram("wharf_query_latency_ms")
@@ -134,8 +127,7 @@
                 .u64_gauge("wharf_in_flight")
                 .with_description("Requests in flight on this host, as of the last exchange")
                 .build(),
-            registry,
-            _provider: provider,
+            exposition,
         })
     }
 
@@ -249,8 +241,6 @@
     ///
     /// Returns an error if the exposition cannot be encoded.
     pub fn expose(&self) -> Result<String> {
-        let mut out = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut out)?;
-        Ok(String::from_utf8(out)?)
+        self.exposition.text()
     }
 }
--- a/crates/request/scatter/src/lib.rs
+++ b/crates/request/scatter/src/lib.rs
@@ -9,6 +9,7 @@
 //! Everything here is plain state. Events and the time come in, actions go
 //! out, and nothing does I/O.
 
+mod event;
 mod extras;
 mod merge;
 mod plan;
@@ -16,9 +17,10 @@
 mod split;
 
 pub use crate::{
+    event::{Action, Bundle, Call, Candidate, Cause, Event, Failure, Outcome, Replicas},
     extras::{Allowance, Extras},
     merge::{greatest_records, RECORD_BYTES},
     plan::Plan,
-    query::{Action, Bundle, Call, Candidate, Cause, Event, Failure, Outcome, Query, Replicas},
+    query::Query,
     split::Splits,
 };
