--- a/crates/process/gateway/src/news.rs
+++ b/crates/process/gateway/src/news.rs
@@ -1,4 +1,8 @@
-//! The store, read by one host of each region and told to the others.
+//! What stands in the store, read by one host and told by host to host.
+//!
+//! `fleet::reader_duty` says whom a host asks and how old the answer may be.
+//! Peers answer as soon as something has changed, or after a while to say that
+//! nothing has. A host that finds nobody to ask reads the store itself.
 
 use {
     crate::{
@@ -103,7 +107,8 @@
             read = follow::read(&shared, &mut on_answer) => read.err(),
             () = somebody_to_ask(&shared, &mut sources) => None,
         };
-        // What is known may be of another one by now.
+        // What was read in the store has no number among a peer's news, so
+        // that the next peer tells everything.
         sources.epoch = 0;
         if let Some(fault) = fault {
             sources.cut_at = Some(Instant::now());
--- a/crates/process/gateway/src/view.rs
+++ b/crates/process/gateway/src/view.rs
@@ -1,4 +1,7 @@
-//! The servers as one request sees them, with the relays before those far away.
+//! The servers as one request sees them, and the relays that stand in for them.
+//!
+//! A first call goes through a relay where the server is in another region, or
+//! where hosts are too many to hold connections of their own.
 
 use {
     crate::{
