Remove three methods that nothing calls

Found on a last read: the refund of an extra call (a call that never reached a server is not paid for in the first place) with the one of its budget, and the round trip of a server by key. No behaviour changes.

--- a/crates/connection/replica/src/directory.rs
+++ b/crates/connection/replica/src/directory.rs
@@ -152,11 +152,6 @@
         self.servers.get(&key).map(|server| &server.entry)
     }
 
-    /// Returns the round trip to a server.
-    pub fn round_trip(&self, key: ReplicaKey) -> Option<Duration> {
-        self.servers.get(&key).map(Server::round_trip)
-    }
-
     /// Returns the keys of the servers of a service that take new work.
     pub fn ready(&self, service: &ServiceName) -> Vec<ReplicaKey> {
         let keys = self.by_service.get(service).into_iter().flatten();
--- a/crates/request/plan/src/budget.rs
+++ b/crates/request/plan/src/budget.rs
@@ -24,11 +24,6 @@
         self.tokens = self.tokens.min(max_tokens);
     }
 
-    /// Gives back a token that was not needed after all.
-    pub fn refund(&mut self) {
-        self.tokens = (self.tokens + 1.0).min(self.max_tokens);
-    }
-
     /// Returns the tokens left.
     pub fn tokens(&self) -> f64 {
         self.tokens
--- a/crates/request/scatter/src/extras.rs
+++ b/crates/request/scatter/src/extras.rs
@@ -75,11 +75,6 @@
         self.budget(service, now).take()
     }
 
-    /// Gives back an extra call that never reached a server.
-    pub fn refund(&mut self, service: &ServiceName, now: Instant) {
-        self.budget(service, now).refund();
-    }
-
     /// Returns the extra calls left.
     pub fn left(&self, service: &ServiceName) -> f64 {
         let known = self.budgets.get(service);
