Send nothing for a caller who has left

Cause: a call that waited for a connection was sent whenever one came back, up to 400 ms after its caller had left, and a relay went on asking until the agreed time of its reply, since it looked for the peer's leaving only then.

Ruled out: the detection of the leaving caller itself (its entry host sent nothing after it).

Now a call looks whether it is wanted before it writes, a relay drops its query as soon as the peer is gone, and a reply's rest is kept for 100 ms.

--- a/crates/process/gateway/src/call.rs
+++ b/crates/process/gateway/src/call.rs
@@ -58,7 +58,7 @@
     };
     let left = outgoing.deadline.saturating_duration_since(began) + LATE_SLACK;
     let ended = select! {
-        ended = exchange::run(&shared, server, share, &outgoing) => Some(ended),
+        ended = exchange::run(&shared, server, share, &outgoing, || !ends.is_closed()) => Some(ended),
         () = async { ends.closed().await; sleep(LINGER).await } => None,
         () = sleep(left) => None,
     };
--- a/crates/process/gateway/src/exchange.rs
+++ b/crates/process/gateway/src/exchange.rs
@@ -68,11 +68,15 @@
 }
 
 /// Sends the request to a server and reads its answer.
+///
+/// Nothing is sent once `is_wanted` says that nobody waits any more: the call
+/// may have waited for its connection longer than the caller for the answer.
 pub(crate) async fn run<A: Adapter>(
     shared: &Shared<A>,
     key: ReplicaKey,
     share: u32,
     outgoing: &Outgoing,
+    is_wanted: impl Fn() -> bool,
 ) -> Ended {
     for _ in 0..MAX_STALE_CONNECTIONS {
         let lease = connections::acquire(shared, key, share, outgoing.deadline).await;
@@ -89,7 +93,7 @@
         let Some(id) = entry_id else {
             return without_connection(NoConnection::Unreachable);
         };
-        match send(loan, lease, &id, outgoing).await {
+        match send(loan, lease, &id, outgoing, &is_wanted).await {
             Some(ended) => return ended,
             // The server had closed the idle connection; nothing was sent.
             None => continue,
@@ -151,6 +155,7 @@
     lease: Lease<Connection>,
     id: &ServerId,
     outgoing: &Outgoing,
+    is_wanted: &impl Fn() -> bool,
 ) -> Option<Ended> {
     let is_reused = lease.is_reused;
     let mut connection = lease.connection;
@@ -159,13 +164,14 @@
     }
     let sent_at = Instant::now();
     let time_left = outgoing.deadline.saturating_duration_since(sent_at);
-    if time_left < MIN_TIME_LEFT {
+    if time_left < MIN_TIME_LEFT || !is_wanted() {
         loan.give_back(connection);
-        return Some(failed(
-            LeafFault::NotWritten,
-            Reason::Deadline,
-            Evidence::Nothing,
-        ));
+        let reason = if is_wanted() {
+            Reason::Deadline
+        } else {
+            Reason::NotAwaited
+        };
+        return Some(failed(LeafFault::NotWritten, reason, Evidence::Nothing));
     }
     let request = outgoing.request::<A>(id, time_left);
     let response = match connection.try_send_request(request).await {
--- a/crates/process/gateway/src/gathering.rs
+++ b/crates/process/gateway/src/gathering.rs
@@ -27,8 +27,10 @@
     tokio::{select, sync::oneshot, task::spawn_local, time::sleep},
 };
 
-/// Time for which the rest of a reply is kept for a peer that comes for it.
-const REST_MEMORY: Duration = Duration::from_millis(200);
+/// Time for which the rest of a reply is kept for a peer that comes for it: a
+/// long round trip and a delay in both processes. The caller may have left
+/// meanwhile, and servers work for it no longer than this and `call::LINGER`.
+const REST_MEMORY: Duration = Duration::from_millis(100);
 
 /// Asks servers near this host for the parts that a peer wants.
 ///
@@ -121,7 +123,7 @@
     async fn run<A: Adapter>(
         self,
         shared: Rc<Shared<A>>,
-        first: oneshot::Sender<GatherReply>,
+        mut first: oneshot::Sender<GatherReply>,
         mut rest: oneshot::Sender<GatherReply>,
     ) {
         let job = Job {
@@ -144,7 +146,11 @@
             hedge_until: Some(self.answer_at),
         };
         let mut running = job.begin(plan, &self.services);
-        let has_ended = running.run(&job, Some(self.answer_at)).await;
+        let has_ended = select! {
+            has_ended = running.run(&job, Some(self.answer_at)) => has_ended,
+            // The peer gave the call up, as when its caller has left.
+            () = first.closed() => return,
+        };
         let reply = self.reply(running.query.take_bundles(), !has_ended);
         if first.send(reply).is_err() || has_ended {
             return;
