Let a host that starts while the store is away learn from seeds

The addresses of the seeds stood unused in the settings file.

Now hosts serve each other on the control address, which seeds name, and a host that the store has not answered for 300 ms asks them for all that they know. A test failed first (host not ready within 10 s).

--- a/crates/process/gateway/src/news.rs
+++ b/crates/process/gateway/src/news.rs
@@ -17,6 +17,7 @@
     record::HostId,
     std::{
         collections::HashMap,
+        net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -39,6 +40,12 @@
 const START_WAIT: Duration = Duration::from_millis(600);
 /// Pause before it asks the same one again.
 const START_PAUSE: Duration = Duration::from_millis(80);
+/// Time for which a starting host waits for the store before it asks seeds: a
+/// store that is well answers in a few milliseconds.
+const SEED_PAUSE: Duration = Duration::from_millis(300);
+/// Age up to which a host that knows nothing takes the word of a seed. While
+/// the store is away nobody knows better, and leases of hosts live shorter.
+const SEED_PATIENCE: Duration = Duration::from_secs(600);
 /// Time within which all hosts of a new fleet start.
 const START_SPREAD: Duration = Duration::from_millis(350);
 /// Pause between looks whether somebody can be asked.
@@ -93,10 +100,13 @@
 pub(crate) async fn follow<A: Adapter>(shared: Rc<Shared<A>>) {
     let mut link = Link::new("configuration, the hosts and the servers");
     let mut sources = Sources::default();
-    while let Err(fault) = meet(&shared).await {
-        sleep(link.on_fault(&fault)).await;
+    let has_met = select! {
+        () = meet_in_the_end(&shared, &mut link) => true,
+        () = learn_from_seeds(&shared, &mut sources) => false,
+    };
+    if has_met {
+        begin(&shared, &mut sources).await;
     }
-    begin(&shared, &mut sources).await;
     loop {
         // A host that knows nothing reads at once, whoever else might know.
         if shared.is_informed() && ask_peers(&shared, &mut sources).await {
@@ -120,6 +130,30 @@
     }
 }
 
+/// Meets the other hosts, however often the store has to be asked.
+async fn meet_in_the_end<A: Adapter>(shared: &Shared<A>, link: &mut Link) {
+    while let Err(fault) = meet(shared).await {
+        sleep(link.on_fault(&fault)).await;
+    }
+}
+
+/// Learns everything from a seed, if the store takes its time.
+async fn learn_from_seeds<A: Adapter>(shared: &Shared<A>, sources: &mut Sources) {
+    let own = shared.settings.member.peer_addr;
+    loop {
+        sleep(SEED_PAUSE).await;
+        for seed in shared.settings.seeds.iter().filter(|seed| **seed != own) {
+            match ask(shared, sources, *seed, SEED_PATIENCE).await {
+                Ok(()) => {
+                    log::info!(target: "fleet", "The store does not answer; the host at {seed} told what stands there.");
+                    return;
+                }
+                Err(error) => log::info!(target: "fleet", "Seed not used: {error}."),
+            }
+        }
+    }
+}
+
 /// Learns of the other hosts, so that one of them can be asked for all else.
 ///
 /// # Errors
@@ -152,7 +186,11 @@
     for peer in near.take(START_CANDIDATES) {
         let until = Instant::now() + START_WAIT;
         while Instant::now() < until {
-            if timeout_at(until.into(), ask(shared, sources, peer, duty.patience)).await
+            if timeout_at(
+                until.into(),
+                ask(shared, sources, peer.peer_addr, duty.patience),
+            )
+            .await
                 == Ok(Ok(()))
             {
                 return;
@@ -181,7 +219,7 @@
     let own = &shared.settings.member;
     let (candidates, patience) = sources.duty(own, &readers, Instant::now());
     for peer in candidates {
-        match ask(shared, sources, &peer, patience).await {
+        match ask(shared, sources, peer.peer_addr, patience).await {
             Ok(()) => return true,
             Err(error) => {
                 log::info!(target: "fleet", "Host {} is not asked for a while: {error}.", peer.id);
@@ -195,7 +233,7 @@
 async fn ask<A: Adapter>(
     shared: &Shared<A>,
     sources: &mut Sources,
-    peer: &Member,
+    peer_addr: SocketAddr,
     patience: Duration,
 ) -> Result<()> {
     let call = NewsCall {
@@ -206,7 +244,7 @@
     };
     let deadline = Instant::now() + NEWS_WAIT + NEWS_SLACK;
     let lost = |detail: &str| Error::new(Kind::HostLost, detail.to_owned());
-    let asked = peer::ask_news(shared, peer.peer_addr, call, deadline);
+    let asked = peer::ask_news(shared, peer_addr, call, deadline);
     let reply = timeout(NEWS_WAIT + NEWS_SLACK, asked).await;
     let reply = reply.map_err(|_| lost("no answer in time"))??;
     let age = Duration::from_millis(reply.age_ms.into());
--- a/crates/process/gateway/src/run.rs
+++ b/crates/process/gateway/src/run.rs
@@ -30,6 +30,8 @@
     pub caller_addr: SocketAddr,
     /// Address at which the balancer asks whether the host takes work.
     pub ready_addr: SocketAddr,
+    /// Address for peers.
+    pub peer_addr: SocketAddr,
     shared: Rc<Shared<A>>,
     tasks: Vec<JoinHandle<()>>,
     listed: JoinHandle<()>,
@@ -73,6 +75,7 @@
     Ok(RunningGateway {
         caller_addr,
         ready_addr,
+        peer_addr: shared.settings.member.peer_addr,
         listed: spawn_local(membership::stay_listed(Rc::clone(&shared))),
         shared,
         tasks,
--- a/crates/process/gateway/src/settings.rs
+++ b/crates/process/gateway/src/settings.rs
@@ -30,6 +30,8 @@
     pub ready_addr: String,
     /// Address for peers.
     pub peer_addr: String,
+    /// Addresses for peers of a few hosts, which may be gone.
+    pub seeds: Vec<String>,
     /// Address of the store.
     pub store_addr: String,
     /// Port for metrics beside the address for the balancer, if any.
@@ -55,6 +57,8 @@
     pub caller_addr: SocketAddr,
     /// Address at which the balancer asks whether the host takes work.
     pub ready_addr: SocketAddr,
+    /// Addresses for peers of a few hosts, which may be gone.
+    pub seeds: Vec<SocketAddr>,
     /// Address of the store.
     pub store_addr: SocketAddr,
     /// Further address for metrics, if any.
@@ -116,6 +120,11 @@
             },
             caller_addr: addr("address for callers", &raw.caller_addr)?,
             ready_addr,
+            seeds: raw
+                .seeds
+                .iter()
+                .map(|seed| addr("address of a seed", seed))
+                .collect::<Result<_>>()?,
             store_addr: addr("address of the store", &raw.store_addr)?,
             allowance: Allowance {
                 ratio: raw.retry_ratio,
--- a/crates/request/scatter/tests/load/mod.rs
+++ b/crates/request/scatter/tests/load/mod.rs
@@ -268,7 +268,6 @@
         let kind = self.kinds[index];
         if self.has_gate {
             let typical_ms = self.works.typical_ms(kind.name);
-            let (replicas, now) = (&self.replicas, self.now);
             let refused = self.outlook.refusal(
                 &self.shards,
                 kind.min_share,
