--- a/crates/connection/replica/src/directory.rs
+++ b/crates/connection/replica/src/directory.rs
@@ -33,6 +33,15 @@
     Same,
 }
 
+/// What a call needs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Want {
+    /// Usual time of the request at a server, in milliseconds.
+    pub typical_ms: f64,
+    /// How well a failure can be made good: 1 if several retries are left, 0 if none is.
+    pub reserve: f64,
+}
+
 /// A server for a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Pick {
@@ -182,7 +191,7 @@
         &self,
         service: &ServiceName,
         tried: &[ReplicaKey],
-        typical_ms: f64,
+        want: Want,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<Pick> {
@@ -193,9 +202,9 @@
             let Some(class) = class(server, now) else {
                 continue;
             };
-            let expected = forecast::expected(server, typical_ms, now);
+            let expected = forecast::expected(server, want.typical_ms, now);
             let jitter = 1.0 + JITTER * rng.random::<f64>();
-            let cost = (expected + forecast::handicap(server)).as_secs_f64() * jitter;
+            let cost = (expected + forecast::handicap(server, want.reserve)).as_secs_f64() * jitter;
             if best.is_none_or(|(c, known, _)| (class, cost) < (c, known)) {
                 let pick = Pick {
                     key: *key,
--- a/crates/connection/replica/src/forecast.rs
+++ b/crates/connection/replica/src/forecast.rs
@@ -14,6 +14,9 @@
 const STALL: Duration = Duration::from_millis(100);
 /// Time that a failed call costs a request until its retry is as far.
 const FAILURE_COST: Duration = Duration::from_millis(60);
+/// Further time that it costs if no retry is left, so that the part is lost.
+/// It has to outweigh the queue of the other servers, a few tenths of a second.
+const LOSS_COST: Duration = Duration::from_millis(240);
 /// Handicap of a server in another region, whose traffic is dear.
 const FAR_HANDICAP: Duration = Duration::from_millis(8);
 /// Handicap of a server in another zone of the region.
@@ -37,11 +40,14 @@
 }
 
 /// Returns what a call costs beside the time to its answer.
-pub(crate) fn handicap(server: &Server) -> Duration {
+///
+/// `reserve` says how well a failure can be made good, from 0 to 1.
+pub(crate) fn handicap(server: &Server, reserve: f64) -> Duration {
     let distance = match server.distance {
         Distance::Zone => Duration::ZERO,
         Distance::Region => REGION_HANDICAP,
         Distance::Far => FAR_HANDICAP,
     };
-    distance + FAILURE_COST.mul_f64(server.failure_share())
+    let failure_cost = FAILURE_COST + LOSS_COST.mul_f64(1.0 - reserve);
+    distance + failure_cost.mul_f64(server.failure_share())
 }
--- a/crates/connection/replica/src/lib.rs
+++ b/crates/connection/replica/src/lib.rs
@@ -17,7 +17,7 @@
 mod work;
 
 pub use crate::{
-    directory::{Arrival, Pick, Replicas},
+    directory::{Arrival, Pick, Replicas, Want},
     distance::{Distance, Place},
     entry::{Entry, ReplicaKey, ServerId, Standing},
     server::StatedLoad,
--- a/crates/connection/replica/tests/replicas.rs
+++ b/crates/connection/replica/tests/replicas.rs
@@ -3,7 +3,7 @@
 use {
     link::{Evidence, Refusal},
     rand::{rngs::StdRng, SeedableRng},
-    replica::{Arrival, Distance, Entry, Place, Replicas, Standing, StatedLoad, Works},
+    replica::{Arrival, Distance, Entry, Place, Replicas, Standing, StatedLoad, Want, Works},
     routing::ServiceName,
     std::{
         collections::{HashMap, HashSet},
@@ -13,6 +13,10 @@
 };
 
 const TYPICAL_MS: f64 = 10.0;
+const WANT: Want = Want {
+    typical_ms: TYPICAL_MS,
+    reserve: 1.0,
+};
 
 fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -50,7 +54,7 @@
 
 /// Returns the id of the server that is picked.
 fn picked(replicas: &Replicas, now: Instant) -> Option<String> {
-    let pick = replicas.pick(&service(), &[], TYPICAL_MS, now, &mut rng())?;
+    let pick = replicas.pick(&service(), &[], WANT, now, &mut rng())?;
     replicas.entry(pick.key).map(|entry| entry.id.to_string())
 }
 
@@ -68,7 +72,7 @@
     let (replicas, near, _) = two(now);
     assert_eq!(picked(&replicas, now).as_deref(), Some("near"));
     let pick = replicas
-        .pick(&service(), &[near], TYPICAL_MS, now, &mut rng())
+        .pick(&service(), &[near], WANT, now, &mut rng())
         .unwrap();
     assert_eq!(pick.distance, Distance::Far);
     assert!(pick.expected >= ms(25));
@@ -137,7 +141,7 @@
             Some("far"),
             "{evidence:?}"
         );
-        let only = replicas.pick(&service(), &[far], TYPICAL_MS, now, &mut rng());
+        let only = replicas.pick(&service(), &[far], WANT, now, &mut rng());
         assert_eq!(only.map(|pick| pick.key), Some(near));
     }
 }
@@ -154,7 +158,7 @@
     assert_eq!(picked(&replicas, now).as_deref(), Some("far"));
     let only = |at| {
         replicas
-            .pick(&service(), &[far], TYPICAL_MS, at, &mut rng())
+            .pick(&service(), &[far], WANT, at, &mut rng())
             .map(|pick| pick.key)
     };
     assert_eq!(only(now + ms(1_000)), Some(near));
@@ -244,3 +248,36 @@
         "the own calls count once"
     );
 }
+
+#[test]
+fn a_server_that_sheds_is_avoided_the_more_the_fewer_retries_are_left() {
+    let now = Instant::now();
+    let (mut replicas, near, far) = two(now);
+    for call in 0..6 {
+        replicas.on_begin(near, call, ms(10), now);
+        replicas.on_end(
+            near,
+            call,
+            Evidence::Refused(Refusal::Shed),
+            TYPICAL_MS,
+            now,
+        );
+    }
+    // What the refusals told of the queue is over; the far one has a queue of 90 ms.
+    let later = now + ms(900);
+    replicas.on_load(
+        far,
+        StatedLoad {
+            running: 2,
+            waiting: 15,
+        },
+        later,
+    );
+    let picked = |reserve| {
+        let want = Want { reserve, ..WANT };
+        let pick = replicas.pick(&service(), &[], want, later, &mut rng());
+        pick.map(|pick| pick.key)
+    };
+    assert_eq!(picked(1.0), Some(near));
+    assert_eq!(picked(0.0), Some(far));
+}
--- a/crates/process/gateway/src/view.rs
+++ b/crates/process/gateway/src/view.rs
@@ -10,7 +10,7 @@
         Adapter,
     },
     record::ZoneId,
-    replica::{Pick, ReplicaKey},
+    replica::{Pick, ReplicaKey, Want},
     routing::{ServiceName, Table},
     scatter::{Candidate, Replicas},
     std::time::{Duration, Instant},
@@ -94,8 +94,12 @@
             Via::Relay(_) => None,
         });
         let servers: Vec<ReplicaKey> = servers.collect();
+        let want = Want {
+            typical_ms: self.typical_ms,
+            reserve: self.shared.extras.borrow().reserve(service),
+        };
         let replicas = self.shared.replicas.borrow();
-        let pick = replicas.pick(service, &servers, self.typical_ms, now, &mut rand::rng())?;
+        let pick = replicas.pick(service, &servers, want, now, &mut rand::rng())?;
         drop(replicas);
         if let Relaying::First(expected) = self.relaying {
             if let Some(relay) = self.relay_for(service, pick, tried, now) {
--- a/crates/request/scatter/src/extras.rs
+++ b/crates/request/scatter/src/extras.rs
@@ -15,6 +15,10 @@
 /// yet and calls that the two sides count in different windows.
 const USED_SHARE: f64 = 0.8;
 
+/// Extra calls left from which on they are no concern: a hedge and a retry are
+/// made good by the first calls of a few queries.
+const AMPLE: f64 = 3.0;
+
 /// What all hosts together may spend on a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allowance {
@@ -75,6 +79,11 @@
         self.budget(service, now).take()
     }
 
+    /// Returns how well a failure can be made good: 1 if several extra calls are left, 0 if none is.
+    pub fn reserve(&self, service: &ServiceName) -> f64 {
+        (self.left(service) / AMPLE).min(1.0)
+    }
+
     /// Returns the extra calls left.
     pub fn left(&self, service: &ServiceName) -> f64 {
         let known = self.budgets.get(service);
--- a/crates/request/scatter/tests/load/mod.rs
+++ b/crates/request/scatter/tests/load/mod.rs
@@ -12,7 +12,7 @@
     link::{Evidence, Refusal},
     plan::Reason,
     rand::{rngs::StdRng, Rng, SeedableRng},
-    replica::{Entry, Place, ReplicaKey, Standing, StatedLoad, Works},
+    replica::{Entry, Place, ReplicaKey, Standing, StatedLoad, Want, Works},
     routing::ServiceName,
     scatter::{
         Action, Allowance, Call, Candidate, Event, Extras, Failure, Outlook, Plan, Query, Replicas,
@@ -104,9 +104,13 @@
         _: usize,
         now: Instant,
     ) -> Option<Candidate<ReplicaKey>> {
+        let want = Want {
+            typical_ms: self.typical_ms,
+            reserve: self.extras.reserve(service),
+        };
         let pick = self
             .replicas
-            .pick(service, tried, self.typical_ms, now, &mut *self.rng)?;
+            .pick(service, tried, want, now, &mut *self.rng)?;
         Some(Candidate {
             server: pick.key,
             expected: pick.expected,
