--- a/crates/test/fakes/src/lib.rs
+++ b/crates/test/fakes/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod memory;
 pub mod platform;
 pub mod process;
+pub mod proxy;
 pub mod upstream;
