Let a starting host wait for peers by the size of its fleet

A wait of 20 ms a host of the fleet, 600 ms at most, is what the peer needs to tell the others; a fleet of eight does not need more. The first host of a new fleet no longer waits 350 ms for others to appear.

--- a/crates/process/gateway/src/membership.rs
+++ b/crates/process/gateway/src/membership.rs
@@ -105,8 +105,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Members {
     hosts: BTreeMap<HostId, Listed>,
-    alive: Rc<Vec<Member>>,
-    /// Those of them that read the store for others.
+    /// Those of the listed ones that read the store for others.
     readers: Rc<Vec<Member>>,
 }
 
@@ -141,8 +140,6 @@
     }
 
     fn refresh(&mut self) {
-        let listed = self.listed().map(|host| host.member.clone());
-        self.alive = Rc::new(listed.collect());
         let hosts: Vec<&ListedHost> = self.listed().collect();
         let regions: BTreeSet<&str> = hosts.iter().map(|h| h.member.region.as_str()).collect();
         let readers = regions.into_iter().flat_map(|region| {
@@ -158,11 +155,6 @@
         listed.map(|listed| &listed.host)
     }
 
-    /// Returns the hosts that are listed, by name.
-    pub(crate) fn alive(&self) -> Rc<Vec<Member>> {
-        Rc::clone(&self.alive)
-    }
-
     /// Returns the hosts that read the store for others, the strongest of each region.
     pub(crate) fn readers(&self) -> Rc<Vec<Member>> {
         Rc::clone(&self.readers)
--- a/crates/process/gateway/src/news.rs
+++ b/crates/process/gateway/src/news.rs
@@ -36,8 +36,11 @@
 const FAILURE_MEMORY: Duration = Duration::from_secs(3);
 /// Hosts that a starting host asks before it reads for itself.
 const START_CANDIDATES: usize = 2;
-/// Time for which it asks each of them, who may be starting as well.
-const START_WAIT: Duration = Duration::from_millis(600);
+/// Time for each host of the fleet for which it asks each of them, who may be
+/// starting as well: so long a weak one takes to tell another everything.
+const START_WAIT_PER_HOST: Duration = Duration::from_millis(20);
+/// Longest time for which it asks each of them; callers wait meanwhile.
+const MOST_START_WAIT: Duration = Duration::from_millis(600);
 /// Pause before it asks the same one again.
 const START_PAUSE: Duration = Duration::from_millis(80);
 /// Time for which a starting host waits for the store before it asks seeds: a
@@ -46,8 +49,6 @@
 /// Age up to which a host that knows nothing takes the word of a seed. While
 /// the store is away nobody knows better, and leases of hosts live shorter.
 const SEED_PATIENCE: Duration = Duration::from_secs(600);
-/// Time within which all hosts of a new fleet start.
-const START_SPREAD: Duration = Duration::from_millis(350);
 /// Pause between looks whether somebody can be asked.
 const DUTY_PAUSE: Duration = Duration::from_millis(500);
 /// Time since a fault of the store for which this host counts as cut from it.
@@ -156,18 +157,12 @@
 
 /// Learns of the other hosts, so that one of them can be asked for all else.
 ///
+/// Of a new fleet only the first ones find nobody, and read for themselves.
+///
 /// # Errors
 ///
 /// Returns the fault of the call to the store.
 async fn meet<A: Adapter>(shared: &Shared<A>) -> Result<(), Fault> {
-    follow::list(shared, apply::HOST_PREFIX).await?;
-    let own = &shared.settings.member;
-    let members = shared.members.borrow().alive();
-    if members.iter().any(|member| member.id != own.id) {
-        return Ok(());
-    }
-    // All hosts may have started together.
-    sleep(START_SPREAD).await;
     follow::list(shared, apply::HOST_PREFIX).await.map(|_| ())
 }
 
@@ -178,13 +173,17 @@
 async fn begin<A: Adapter>(shared: &Shared<A>, sources: &mut Sources) {
     let own = &shared.settings.member;
     let readers = shared.members.borrow().readers();
+    let hosts = u32::try_from(shared.hosts.get()).unwrap_or(u32::MAX);
+    let wait = START_WAIT_PER_HOST
+        .saturating_mul(hosts)
+        .min(MOST_START_WAIT);
     let duty = reader_duty(own, &readers, false);
     let near = duty
         .candidates
         .into_iter()
         .filter(|peer| peer.region == own.region);
     for peer in near.take(START_CANDIDATES) {
-        let until = Instant::now() + START_WAIT;
+        let until = Instant::now() + wait;
         while Instant::now() < until {
             if timeout_at(
                 until.into(),
