Let the first hosts of a new fleet look twice again; note a reader by region that changed nothing

Tried and not kept: a host of the region in which the store answers soonest reads for the others (6 ms there, 23 to 31 ms from other regions).

--- a/crates/process/gateway/src/membership.rs
+++ b/crates/process/gateway/src/membership.rs
@@ -160,6 +160,11 @@
         Rc::clone(&self.readers)
     }
 
+    /// Returns whether any other host than `own_id` is listed.
+    pub(crate) fn has_other_than(&self, own_id: &str) -> bool {
+        self.listed().any(|host| host.member.id != own_id)
+    }
+
     /// Returns whether a host is listed.
     pub(crate) fn is_listed(&self, id: &str) -> bool {
         self.hosts
--- a/crates/process/gateway/src/news.rs
+++ b/crates/process/gateway/src/news.rs
@@ -41,6 +41,8 @@
 const START_WAIT_PER_HOST: Duration = Duration::from_millis(20);
 /// Longest time for which it asks each of them; callers wait meanwhile.
 const MOST_START_WAIT: Duration = Duration::from_millis(600);
+/// Time within which all hosts of a new fleet start.
+const START_SPREAD: Duration = Duration::from_millis(350);
 /// Pause before it asks the same one again.
 const START_PAUSE: Duration = Duration::from_millis(80);
 /// Time for which a starting host waits for the store before it asks seeds: a
@@ -157,12 +159,19 @@
 
 /// Learns of the other hosts, so that one of them can be asked for all else.
 ///
-/// Of a new fleet only the first ones find nobody, and read for themselves.
+/// A host that finds nobody looks again: of a new fleet, whose callers are yet
+/// to come, one host is to read and not all.
 ///
 /// # Errors
 ///
 /// Returns the fault of the call to the store.
 async fn meet<A: Adapter>(shared: &Shared<A>) -> Result<(), Fault> {
+    follow::list(shared, apply::HOST_PREFIX).await?;
+    let own = &shared.settings.member;
+    if shared.members.borrow().has_other_than(&own.id) {
+        return Ok(());
+    }
+    sleep(START_SPREAD).await;
     follow::list(shared, apply::HOST_PREFIX).await.map(|_| ())
 }
 
