Take changed settings while a host runs, and say why a query is not let in

The bound of extra calls is taken on SIGHUP and, since the file may also change without a signal, within 5 s; all else takes a restart and the log says so; a file that is not valid is told of and the settings are kept. Before, a signal only checked the file.

The line of a refused query has the delay and what would have been borne.

--- a/crates/bin/wharf/src/hosted.rs
+++ b/crates/bin/wharf/src/hosted.rs
@@ -4,20 +4,24 @@
     crate::stop_asked,
     anyhow::{Context, Result},
     clap::{value_parser, Arg, ArgAction, Command},
-    gateway::{RawSettings, Settings},
+    gateway::{RawSettings, RunningGateway, Settings},
     platform::{read_settings, KvClient, Platform},
-    std::path::Path,
+    std::{fs, path::Path, time::Duration},
     tokio::{
         runtime::Builder,
         select,
         signal::unix::{signal, SignalKind},
         task::LocalSet,
+        time::sleep,
     },
 };
 
 /// Levels of the log; the library for calls between hosts tells each of them.
 const LOG_LEVELS: &str = "info, tarpc=warn";
 
+/// Pause between looks at the settings file, which may change without a signal.
+const SETTINGS_PAUSE: Duration = Duration::from_secs(5);
+
 /// Runs a host by the settings file at `path` until it is asked to stop.
 ///
 /// # Errors
@@ -53,7 +57,7 @@
         .after_help(
             "The platform names the settings file in a variable. Without that variable, \
              `wharf --help` tells the flags of a host that is started by hand. SIGTERM shuts the \
-             host down without cutting work in flight, SIGHUP checks the settings again.",
+             host down without cutting work in flight, SIGHUP makes it take the settings again.",
         )
         .arg(
             Arg::new("check")
@@ -82,19 +86,34 @@
     let host = gateway::run::<Platform>(settings, keys).await?;
     select! {
         asked = stop_asked() => asked?,
-        failed = follow_settings(path, metrics_port) => failed?,
+        failed = follow_settings(path, metrics_port, &host) => failed?,
     }
     host.shut_down().await;
     Ok(())
 }
 
-/// Checks the settings again whenever the process is told that they have changed.
-async fn follow_settings(path: &Path, metrics_port: Option<u16>) -> Result<()> {
+/// Takes the settings again when the process is told that they have changed,
+/// and when the file has changed without a word.
+async fn follow_settings(
+    path: &Path,
+    metrics_port: Option<u16>,
+    host: &RunningGateway<Platform>,
+) -> Result<()> {
     let mut changed = signal(SignalKind::hangup()).context("SIGHUP")?;
+    let mut known = fs::read(path).ok();
     loop {
-        changed.recv().await;
+        let is_told = select! {
+            _ = changed.recv() => true,
+            () = sleep(SETTINGS_PAUSE) => false,
+        };
+        // A file that cannot be read for a moment is told of below.
+        let now = fs::read(path).ok();
+        if !is_told && now == known {
+            continue;
+        }
+        known = now;
         match settings(path, metrics_port) {
-            Ok(_) => log::info!(target: "host", "The settings were read again."),
+            Ok(newer) => host.reload(&newer),
             Err(error) => log::error!(target: "host", "The settings are kept: {error:#}."),
         }
     }
--- a/crates/connection/replica/src/distance.rs
+++ b/crates/connection/replica/src/distance.rs
@@ -35,7 +35,7 @@
 }
 
 /// Where this host stands, and which zones belong to which region.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Place {
     /// Availability zone of this host.
     pub zone: ZoneId,
--- a/crates/process/gateway/src/run.rs
+++ b/crates/process/gateway/src/run.rs
@@ -125,6 +125,28 @@
         self.shared.connections.borrow().held()
     }
 
+    /// Takes changed settings: the bound of extra calls at once, all else with
+    /// the next start.
+    pub fn reload(&self, newer: &Settings) {
+        let own = &self.shared.settings;
+        let mut own = own.clone();
+        // Peers know the port that was bound.
+        own.member.peer_addr = newer.member.peer_addr;
+        self.shared
+            .extras
+            .borrow_mut()
+            .set_allowance(newer.allowance);
+        if own.differs_only_in_allowance(newer) {
+            log::info!(target: "host", "Settings taken: {:?}.", newer.allowance);
+        } else {
+            log::warn!(
+                target: "host",
+                "Settings taken: {:?}. Others have changed too, which takes a restart.",
+                newer.allowance
+            );
+        }
+    }
+
     /// Shuts the host down without cutting work in flight.
     pub async fn shut_down(self) {
         let life = &self.shared.life;
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -280,11 +280,15 @@
             now,
             |shard| replicas.delay(shard, typical_ms, now),
         );
-        let Some(retry_after) = refusal else {
+        let Some(refusal) = refusal else {
             return Ok(());
         };
-        let detail = "enough shards would answer too late";
-        Err(Error::new(Kind::Shed, detail).with_retry_after(retry_after))
+        let detail = format!(
+            "enough shards answer {} ms late, at most {} ms are borne",
+            refusal.delay.as_millis(),
+            refusal.most.as_millis()
+        );
+        Err(Error::new(Kind::Shed, detail).with_retry_after(refusal.retry_after))
     }
 
     fn answer_by(&self, began: Instant) -> Instant {
--- a/crates/process/gateway/src/settings.rs
+++ b/crates/process/gateway/src/settings.rs
@@ -47,7 +47,7 @@
 }
 
 /// Checked settings.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The host as its peers know it.
     pub member: Member,
@@ -137,6 +137,18 @@
     }
 }
 
+impl Settings {
+    /// Returns whether a running host can take `newer`: all but the bound of
+    /// extra calls is set up at the start.
+    pub(crate) fn differs_only_in_allowance(&self, newer: &Self) -> bool {
+        let with_own = Self {
+            allowance: self.allowance,
+            ..newer.clone()
+        };
+        *self == with_own
+    }
+}
+
 fn addr(name: &str, text: &str) -> Result<SocketAddr> {
     text.parse()
         .with_context(|| format!("the {name}, '{text}', is not an IP address with a port"))
--- a/crates/request/scatter/src/extras.rs
+++ b/crates/request/scatter/src/extras.rs
@@ -46,9 +46,19 @@
         }
     }
 
+    /// Takes what all hosts together may spend from now on.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+        self.bound_budgets();
+    }
+
     /// Takes the number of hosts that spend.
     pub fn set_hosts(&mut self, hosts: usize) {
         self.hosts = hosts.max(1);
+        self.bound_budgets();
+    }
+
+    fn bound_budgets(&mut self) {
         let most = self.most();
         for (budget, _) in self.budgets.values_mut() {
             budget.set_max(most);
--- a/crates/request/scatter/src/lib.rs
+++ b/crates/request/scatter/src/lib.rs
@@ -21,7 +21,7 @@
     event::{Action, Bundle, Call, Candidate, Cause, Event, Failure, Outcome, Replicas},
     extras::{Allowance, Extras},
     merge::{greatest_records, RECORD_BYTES},
-    outlook::Outlook,
+    outlook::{Outlook, Refusal},
     plan::Plan,
     query::Query,
     split::Splits,
--- a/crates/request/scatter/src/outlook.rs
+++ b/crates/request/scatter/src/outlook.rs
@@ -24,6 +24,17 @@
 /// Weight of a new sample in the mean time between queries that are let in.
 const PACE_WEIGHT: f64 = 0.1;
 
+/// Why a query is not let in.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Time by which enough shards are expected to answer late.
+    pub delay: Duration,
+    /// Delay up to which the query would have been let in.
+    pub most: Duration,
+    /// Time after which the caller may come back.
+    pub retry_after: Duration,
+}
+
 /// What is known of the shards' room, and whom it was promised to.
 #[derive(Debug, Default)]
 pub struct Outlook {
@@ -53,7 +64,7 @@
         (now.saturating_duration_since(*at) < MEMORY).then_some(*delay)
     }
 
-    /// Returns after which time a query may come back, or `None` if it is let in.
+    /// Returns why a query is not let in, or `None` if it is.
     ///
     /// A peer's word goes before `own`, the delay that this host knows of
     /// itself. Shards of which nobody knows anything are expected to answer.
@@ -67,18 +78,23 @@
         target: Duration,
         now: Instant,
         own: impl Fn(&ServiceName) -> Option<Duration>,
-    ) -> Option<Duration> {
+    ) -> Option<Refusal> {
         let delay = |shard| self.told(shard, now).or_else(|| own(shard));
         let delays = shards.iter().map(|shard| delay(shard).unwrap_or_default());
         let delay = delay_of_enough(delays.collect(), min_share).unwrap_or_default();
-        if delay <= target.mul_f64(PATIENCE) {
+        let most = target.mul_f64(PATIENCE);
+        if delay <= most {
             self.on_let_in(now);
             return None;
         }
         let after_last = self.returns_at.map(|at| at + self.pace);
         let returns_at = after_last.unwrap_or(now).max(now + delay);
         self.returns_at = Some(returns_at);
-        Some(returns_at.saturating_duration_since(now))
+        Some(Refusal {
+            delay,
+            most,
+            retry_after: returns_at.saturating_duration_since(now),
+        })
     }
 
     fn on_let_in(&mut self, now: Instant) {
--- a/crates/request/scatter/tests/load/mod.rs
+++ b/crates/request/scatter/tests/load/mod.rs
@@ -279,14 +279,14 @@
                 self.now,
                 |shard| self.replicas.delay(shard, typical_ms, self.now),
             );
-            if let Some(retry_after) = refused {
+            if let Some(refusal) = refused {
                 self.got[index].refusals += 1;
                 if tries == 0 {
                     let again = Due::Arrive {
                         kind: index,
                         tries: 1,
                     };
-                    self.at(self.now + retry_after, again);
+                    self.at(self.now + refusal.retry_after, again);
                 } else {
                     self.got[index].refused += 1;
                 }
--- a/crates/request/scatter/tests/outlook.rs
+++ b/crates/request/scatter/tests/outlook.rs
@@ -38,7 +38,8 @@
             position.map(|position| ms(delays[position]))
         };
         let refusal = Outlook::default().refusal(&shards, *min_share, TARGET, Instant::now(), own);
-        assert_eq!(refusal, expected.map(ms), "{delays:?} {min_share}");
+        let told = refusal.map(|refusal| refusal.retry_after);
+        assert_eq!(told, expected.map(ms), "{delays:?} {min_share}");
     }
 }
 
@@ -48,7 +49,8 @@
     let mut outlook = Outlook::default();
     let now = Instant::now();
     let ask = |outlook: &mut Outlook, own: Option<u64>, at| {
-        outlook.refusal(&shards, 1.0, TARGET, at, |_| own.map(ms))
+        let refusal = outlook.refusal(&shards, 1.0, TARGET, at, |_| own.map(ms));
+        refusal.map(|refusal| refusal.delay)
     };
     assert_eq!(ask(&mut outlook, None, now), None);
     outlook.learn(&shards[0], ms(150), now);
