Cut calls that nobody waits for where slots are scarce

Cause: a call that lost to another, or whose query had answered without it, went on for 400 ms wherever it was.

Now such a call is cut after 30 ms where all slots of the server are taken, as far as the host knows, and after 400 ms elsewhere: a new connection costs a slot 6 ms and a price, so that an idle server is left to finish. Silence is concluded only from the longer time.

--- a/crates/connection/replica/src/directory.rs
+++ b/crates/connection/replica/src/directory.rs
@@ -232,6 +232,12 @@
         delays.min()
     }
 
+    /// Returns whether all slots of a server are taken, as far as is known.
+    pub fn is_full(&self, key: ReplicaKey, now: Instant) -> bool {
+        let server = self.servers.get(&key);
+        server.is_some_and(|server| !forecast::has_slot(server, now))
+    }
+
     /// Takes the begin of a call.
     pub fn on_begin(&mut self, key: ReplicaKey, call: u64, expected: Duration, now: Instant) {
         if let Some(server) = self.servers.get_mut(&key) {
--- a/crates/connection/replica/src/forecast.rs
+++ b/crates/connection/replica/src/forecast.rs
@@ -35,8 +35,12 @@
 
 /// Returns whether `server` has a slot for one more call, so that the call delays no other.
 pub(crate) fn is_free(server: &Server, now: Instant) -> bool {
-    let has_slot = server.queue(now) + 0.5 < f64::from(server.entry.slots.max(1));
-    has_slot && server.overdue(now).is_none()
+    has_slot(server, now) && server.overdue(now).is_none()
+}
+
+/// Returns whether not all slots of `server` are taken.
+pub(crate) fn has_slot(server: &Server, now: Instant) -> bool {
+    server.queue(now) + 0.5 < f64::from(server.entry.slots.max(1))
 }
 
 /// Returns what a call costs beside the time to its answer.
--- a/crates/process/gateway/src/call.rs
+++ b/crates/process/gateway/src/call.rs
@@ -28,6 +28,10 @@
 /// Time for which a call goes on after its request has ended. Servers must
 /// not be at work half a second after the caller has left.
 const LINGER: Duration = Duration::from_millis(400);
+/// The same where all slots of the server are taken: a new connection costs it
+/// a few milliseconds, work that nobody waits for several times as much. An
+/// answer that is on its way still arrives.
+const SHORT_LINGER: Duration = Duration::from_millis(30);
 /// Time beyond the caller's for which an answer is waited for.
 const LATE_SLACK: Duration = Duration::from_millis(20);
 
@@ -59,7 +63,10 @@
     let left = outgoing.deadline.saturating_duration_since(began) + LATE_SLACK;
     let ended = select! {
         ended = exchange::run(&shared, server, share, &outgoing, || !ends.is_closed()) => Some(ended),
-        () = async { ends.closed().await; sleep(LINGER).await } => None,
+        () = async {
+            ends.closed().await;
+            sleep(linger(&shared, server)).await;
+        } => None,
         () = sleep(left) => None,
     };
     match ended {
@@ -77,14 +84,25 @@
             let _ = ends.send((vec![call.attempt], result.map(Piece::Own)));
         }
         None => {
-            // Nothing came for long: other connections of the same age may be silent too.
-            shared.connections.borrow_mut().on_silence(server, began);
+            if began.elapsed() >= LINGER {
+                // Nothing came for long: other connections of the same age may be silent too.
+                shared.connections.borrow_mut().on_silence(server, began);
+            }
             open.end(Evidence::Cancelled(began.elapsed()));
             tell(&shared, &call, "cancelled", began.elapsed());
         }
     }
 }
 
+/// Returns for how long a call goes on that nobody waits for any more.
+fn linger<A: Adapter>(shared: &Shared<A>, server: ReplicaKey) -> Duration {
+    if shared.replicas.borrow().is_full(server, Instant::now()) {
+        SHORT_LINGER
+    } else {
+        LINGER
+    }
+}
+
 fn tell<A: Adapter>(shared: &Shared<A>, call: &Call<Via>, outcome: &'static str, took: Duration) {
     let labels = CallLabels {
         cause: call.cause.as_str(),
