--- a/crates/process/gateway/src/follow.rs
+++ b/crates/process/gateway/src/follow.rs
@@ -29,9 +29,14 @@
     shared: &Shared<A>,
     on_answer: &mut impl FnMut(),
 ) -> Result<(), Fault> {
-    let hosts = list(shared, apply::HOST_PREFIX).await?;
-    let config = list(shared, A::Layout::CONFIG_KEY).await?;
-    let servers = list(shared, A::Layout::SERVER_PREFIX).await?;
+    let began = Instant::now();
+    let (hosts, config, servers) = try_join!(
+        list(shared, apply::HOST_PREFIX),
+        list(shared, A::Layout::CONFIG_KEY),
+        list(shared, A::Layout::SERVER_PREFIX),
+    )?;
+    // Peers are told once everything is there.
+    shared.on_read(began);
     on_answer();
     try_join!(
         keep(
@@ -68,12 +73,8 @@
     shared: &Shared<A>,
     prefix: &str,
 ) -> Result<StoreRevision, Fault> {
-    let began = Instant::now();
     let listing = shared.keys.list(prefix).await?;
     apply::listing(shared, prefix, listing.items);
-    if prefix == A::Layout::SERVER_PREFIX {
-        shared.on_read(began);
-    }
     Ok(listing.revision)
 }
 
@@ -94,15 +95,15 @@
                     apply::event(shared, event);
                 }
                 after = revision;
-                if prefix == A::Layout::SERVER_PREFIX {
-                    // Asked every second, so that it tells for all of the store.
-                    shared.on_read(began);
-                }
             }
             Changes::HistoryGone => {
                 log::info!(target: "store", "The history of {prefix} is gone; read again.");
                 after = list(shared, prefix).await?;
             }
         }
+        if prefix == A::Layout::SERVER_PREFIX {
+            // Asked every second, so that it tells for all of the store.
+            shared.on_read(began);
+        }
     }
 }
--- a/crates/process/gateway/src/news.rs
+++ b/crates/process/gateway/src/news.rs
@@ -36,15 +36,15 @@
 const FAILURE_MEMORY: Duration = Duration::from_secs(3);
 /// Hosts that a starting host asks before it reads for itself.
 const START_CANDIDATES: usize = 2;
-/// Time for each host of the fleet for which it asks each of them, who may be
-/// starting as well: so long a weak one takes to tell another everything.
+/// Time for each host of the fleet for which it asks them, who may be starting
+/// as well: so long a weak one takes to tell another everything.
 const START_WAIT_PER_HOST: Duration = Duration::from_millis(20);
-/// Longest time for which it asks each of them; callers wait meanwhile.
-const MOST_START_WAIT: Duration = Duration::from_millis(600);
+/// Longest time for which it asks them; callers wait meanwhile.
+const MOST_START_WAIT: Duration = Duration::from_millis(1_200);
 /// Time within which all hosts of a new fleet start.
 const START_SPREAD: Duration = Duration::from_millis(350);
 /// Pause before it asks the same one again.
-const START_PAUSE: Duration = Duration::from_millis(80);
+const START_PAUSE: Duration = Duration::from_millis(40);
 /// Time for which a starting host waits for the store before it asks seeds: a
 /// store that is well answers in a few milliseconds.
 const SEED_PAUSE: Duration = Duration::from_millis(300);
@@ -186,13 +186,14 @@
     let wait = START_WAIT_PER_HOST
         .saturating_mul(hosts)
         .min(MOST_START_WAIT);
+    let wait_each = wait / START_CANDIDATES as u32;
     let duty = reader_duty(own, &readers, false);
     let near = duty
         .candidates
         .into_iter()
         .filter(|peer| peer.region == own.region);
     for peer in near.take(START_CANDIDATES) {
-        let until = Instant::now() + wait;
+        let until = Instant::now() + wait_each;
         while Instant::now() < until {
             if timeout_at(
                 until.into(),
