Bound the time after which refused callers come back, and forget what peers told of shards

Found in reading: after an hour without queries one sample set the pace to minutes, so that a refused caller would have been told to come back after them; under lasting load the times grew without an end; names of shards that were cut anew stayed known. A test failed first on the pace.

--- a/crates/process/gateway/src/news.rs
+++ b/crates/process/gateway/src/news.rs
@@ -48,8 +48,8 @@
 /// Time for which a starting host waits for the store before it asks seeds: a
 /// store that is well answers in a few milliseconds.
 const SEED_PAUSE: Duration = Duration::from_millis(300);
-/// Age up to which a host that knows nothing takes the word of a seed. While
-/// the store is away nobody knows better, and leases of hosts live shorter.
+/// Age up to which a host that knows nothing takes the word of a seed: longer
+/// than any outage of the store so far, in which nobody knows better.
 const SEED_PATIENCE: Duration = Duration::from_secs(600);
 /// Pause between looks whether somebody can be asked.
 const DUTY_PAUSE: Duration = Duration::from_millis(500);
--- a/crates/process/gateway/src/run.rs
+++ b/crates/process/gateway/src/run.rs
@@ -97,6 +97,7 @@
             shared.connections.borrow_mut().forget(key);
         }
         shared.connections.borrow_mut().close_expired(now);
+        shared.outlook.borrow_mut().forget_old(now);
         if let Some(before) = now.checked_sub(BUDGET_MEMORY) {
             shared.extras.borrow_mut().forget_unused(before);
         }
@@ -128,8 +129,7 @@
     /// Takes changed settings: the bound of extra calls at once, all else with
     /// the next start.
     pub fn reload(&self, newer: &Settings) {
-        let own = &self.shared.settings;
-        let mut own = own.clone();
+        let mut own = self.shared.settings.clone();
         // Peers know the port that was bound.
         own.member.peer_addr = newer.member.peer_addr;
         self.shared
--- a/crates/request/scatter/src/outlook.rs
+++ b/crates/request/scatter/src/outlook.rs
@@ -23,6 +23,11 @@
 
 /// Weight of a new sample in the mean time between queries that are let in.
 const PACE_WEIGHT: f64 = 0.1;
+/// Most that one sample counts: a pause without callers says nothing of room.
+const MOST_PACE: Duration = Duration::from_millis(250);
+/// Longest time after which a caller is told to come back: heavy loads last for
+/// seconds, and nothing is known of the time after.
+const MOST_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Why a query is not let in.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,6 +63,12 @@
         }
     }
 
+    /// Forgets what peers told too long ago, as of shards that are gone.
+    pub fn forget_old(&mut self, now: Instant) {
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < MEMORY;
+        self.delays.retain(|_, (_, at)| is_fresh(*at));
+    }
+
     /// Returns the delay at a shard, as far as a peer told of it a moment ago.
     fn told(&self, shard: &ServiceName, now: Instant) -> Option<Duration> {
         let (delay, at) = self.delays.get(shard)?;
@@ -88,7 +99,9 @@
             return None;
         }
         let after_last = self.returns_at.map(|at| at + self.pace);
-        let returns_at = after_last.unwrap_or(now).max(now + delay);
+        let soonest = now + delay.min(MOST_RETRY_AFTER);
+        let returns_at = after_last.unwrap_or(now).max(soonest);
+        let returns_at = returns_at.min(now + MOST_RETRY_AFTER);
         self.returns_at = Some(returns_at);
         Some(Refusal {
             delay,
@@ -100,6 +113,7 @@
     fn on_let_in(&mut self, now: Instant) {
         let since = self.let_in_at.replace(now);
         let since = since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let since = since.min(MOST_PACE);
         self.pace = self.pace.mul_f64(1.0 - PACE_WEIGHT) + since.mul_f64(PACE_WEIGHT);
     }
 }
--- a/crates/request/scatter/tests/outlook.rs
+++ b/crates/request/scatter/tests/outlook.rs
@@ -60,3 +60,26 @@
     outlook.learn(&shards[0], ms(10), now + ms(300));
     assert_eq!(ask(&mut outlook, Some(170), now + ms(300)), None);
 }
+
+#[test]
+fn callers_come_back_one_by_one_and_within_two_seconds() {
+    let shards = shards(1);
+    let mut outlook = Outlook::default();
+    let mut now = Instant::now();
+    // Queries are let in every 20 ms, after a long pause without any.
+    assert_eq!(outlook.refusal(&shards, 1.0, TARGET, now, |_| None), None);
+    now += Duration::from_secs(3_600);
+    for _ in 0..100 {
+        assert_eq!(outlook.refusal(&shards, 1.0, TARGET, now, |_| None), None);
+        now += ms(20);
+    }
+    let mut refuse = || {
+        let refusal = outlook.refusal(&shards, 1.0, TARGET, now, |_| Some(ms(150)));
+        refusal.map(|refusal| refusal.retry_after.as_millis())
+    };
+    assert_eq!(refuse(), Some(150));
+    let second = refuse().unwrap_or_default();
+    assert!((168..=172).contains(&second), "{second}");
+    let last = (0..500).filter_map(|_| refuse()).max();
+    assert_eq!(last, Some(2_000));
+}
