Count a call from the decision on it

Cause: a call was noted when its task first ran, so that requests which came at the same moment saw neither it nor each other: a test that sends 24 queries at once failed 2 of 6 times, since all were let in and their calls spread over the servers by chance.

Calls are noted as they are decided on.

--- a/crates/process/gateway/src/call.rs
+++ b/crates/process/gateway/src/call.rs
@@ -38,22 +38,38 @@
 /// What calls brought to their request.
 pub(crate) type CallEnd = (Vec<AttemptId>, Result<Piece, Failed>);
 
+/// A call that has been decided on.
+pub(crate) struct Begun {
+    number: u64,
+    at: Instant,
+    server: ReplicaKey,
+}
+
+/// Notes a call that is about to be made: requests that come at the same moment
+/// are to see it.
+pub(crate) fn begin<A: Adapter>(shared: &Shared<A>, call: &Call<Via>, server: ReplicaKey) -> Begun {
+    let number = shared.next_call();
+    let at = Instant::now();
+    let mut replicas = shared.replicas.borrow_mut();
+    replicas.on_begin(server, number, call.expected, at);
+    Begun { number, at, server }
+}
+
 /// Makes a call and sends its end to the request, if that still waits.
 pub(crate) async fn run<A: Adapter>(
     shared: Rc<Shared<A>>,
     route: Arc<str>,
     share: u32,
     call: Call<Via>,
-    server: ReplicaKey,
+    begun: Begun,
     outgoing: Rc<Outgoing>,
     ends: UnboundedSender<CallEnd>,
 ) {
-    let number = shared.next_call();
-    let began = Instant::now();
-    {
-        let mut replicas = shared.replicas.borrow_mut();
-        replicas.on_begin(server, number, call.expected, began);
-    }
+    let Begun {
+        number,
+        at: began,
+        server,
+    } = begun;
     let open = Open {
         shared: &shared,
         route: &route,
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -396,12 +396,13 @@
         }
         let limit = self.table.connection_limit(&call.service);
         let is_relayed = self.relaying != Relaying::None;
+        let begun = call::begin(self.shared, &call, server);
         spawn_local(call::run(
             Rc::clone(self.shared),
             Arc::clone(&self.route.name),
             self.shared.connection_share(limit, is_relayed),
             call,
-            server,
+            begun,
             Rc::clone(self.outgoing),
             ends.clone(),
         ));
