--- a/crates/process/meter/tests/operations_page.rs
+++ b/crates/process/meter/tests/operations_page.rs
@@ -1,4 +1,5 @@
-//! The page on failures names the metrics that a forwarding host exposes, and no others.
+//! The page on failures names the metrics that a forwarding host exposes, and no
+//! others; the page for operators names no others either.
 
 use {
     anyhow::Result,
@@ -7,6 +8,7 @@
 };
 
 const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../../docs/OPERATIONS.md");
+const OPERATORS_PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../../docs/PLATFORM.md");
 const PREFIX: &str = "wharf_";
 
 /// Returns the names of metrics in a text, without the suffix of counters.
@@ -43,5 +45,7 @@
     let exposed = names(&types.collect::<Vec<_>>().join("\n"));
     assert_eq!(exposed, names(&fs::read_to_string(PAGE)?));
     assert_eq!(exposed.len(), 9);
+    let named = names(&fs::read_to_string(OPERATORS_PAGE)?);
+    assert!(!named.is_empty() && named.is_subset(&exposed), "{named:?}");
     Ok(())
 }
