Log from where and how old the data of the store is taken

Neither the lines of part config nor those of part fleet told from which host a configuration had come, so that a source that is behind could not be told from a reader that is. Each change of the source is logged with the age of its data, and each adopted version names the source.

--- a/crates/process/gateway/src/apply.rs
+++ b/crates/process/gateway/src/apply.rs
@@ -129,7 +129,8 @@
     }
     let routes = table.routes().count();
     shared.table.replace(Some(Arc::new(table)));
-    log::info!(target: "config", "Version {version} in force after {current}, {routes} routes.");
+    let source = shared.data_source.get();
+    log::info!(target: "config", "Version {version} in force after {current}, {routes} routes, from {source}.");
     shared.update_readiness();
     true
 }
--- a/crates/process/gateway/src/shared.rs
+++ b/crates/process/gateway/src/shared.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         connections::Connections, log_limiter::LogLimiter, membership::Members, peer::Peers,
-        relay::Relays, store_cache::StoreCache, Adapter, Settings,
+        relay::Relays, store_cache::StoreCache, store_sync::DataSource, Adapter, Settings,
     },
     anyhow::Result,
     fleet::LifecycleEvent,
@@ -15,7 +15,7 @@
     std::{
         cell::{Cell, RefCell},
         sync::Arc,
-        time::Instant,
+        time::{Duration, Instant},
     },
     tokio::sync::Notify,
 };
@@ -41,6 +41,8 @@
     pub(crate) store_cache: RefCell<StoreCache>,
     /// Notified when the store cache changes, is first filled or is confirmed.
     pub(crate) store_changed: Notify,
+    /// Where the data in the store cache came from last.
+    pub(crate) data_source: Cell<DataSource>,
     /// Whether this host has looked for other hosts since its start.
     has_discovered: Cell<bool>,
     discovered: Notify,
@@ -79,6 +81,7 @@
             relays: RefCell::default(),
             store_cache: RefCell::default(),
             store_changed: Notify::new(),
+            data_source: Cell::new(DataSource::Store),
             has_discovered: Cell::new(false),
             discovered: Notify::new(),
             reply_bytes: Cell::new(0),
@@ -102,6 +105,15 @@
         self.last_number.get()
     }
 
+    /// Records where the data that follows comes from and how old it is, and logs
+    /// a change of the source.
+    pub(crate) fn on_data_source(&self, source: DataSource, age: Duration) {
+        if self.data_source.replace(source) != source {
+            let age_ms = age.as_millis();
+            log::info!(target: "fleet", "Data of the store is now taken from {source}, {age_ms} ms old.");
+        }
+    }
+
     /// Records that the whole store cache matched the store at `at`.
     pub(crate) fn on_store_read(&self, at: Instant) {
         if self.store_cache.borrow_mut().on_read(at) {
--- a/crates/process/gateway/src/store_sync.rs
+++ b/crates/process/gateway/src/store_sync.rs
@@ -17,6 +17,7 @@
     record::HostId,
     std::{
         collections::HashMap,
+        fmt::{self, Display, Formatter},
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
@@ -80,6 +81,24 @@
     store_cache.changes_since(request.epoch, request.after, Instant::now())
 }
 
+/// Where the data in this host's copy of the store comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum DataSource {
+    /// The store itself.
+    Store,
+    /// The host with this address for peers.
+    Peer(SocketAddr),
+}
+
+impl Display for DataSource {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => write!(f, "the store"),
+            Self::Peer(addr) => write!(f, "the host at {addr}"),
+        }
+    }
+}
+
 /// State of the peers that this host asks, and its position in the changes of
 /// the last one.
 #[derive(Default)]
@@ -300,6 +319,7 @@
         return Ok(PeerData::Outdated(age));
     }
     (sources.epoch, sources.after) = (reply.epoch, reply.last);
+    shared.on_data_source(DataSource::Peer(peer_addr), age);
     apply_reply(shared, reply);
     let read_at = Instant::now().checked_sub(age);
     shared.on_store_read(read_at.unwrap_or_else(Instant::now));
--- a/crates/process/gateway/src/store_watch.rs
+++ b/crates/process/gateway/src/store_watch.rs
@@ -4,7 +4,7 @@
 //! is not an empty listing.
 
 use {
-    crate::{apply, shared::Shared, Adapter, StoreLayout},
+    crate::{apply, shared::Shared, store_sync::DataSource, Adapter, StoreLayout},
     std::time::{Duration, Instant},
     store::{Changes, Fault, Freshness, KeyPrefixStore, StoreRevision},
     tokio::{time::sleep, try_join},
@@ -80,6 +80,7 @@
     freshness: Freshness,
 ) -> Result<StoreRevision, Fault> {
     let listing = shared.keys.list(prefix, freshness).await?;
+    shared.on_data_source(DataSource::Store, Duration::ZERO);
     apply::apply_listing(shared, prefix, listing.items);
     Ok(listing.revision)
 }
