Confirm the store's data only as far as every watch was answered

Cause: the reader of the store took each successful poll for servers as proof that its whole copy was current. The configuration is watched by a long poll of 4 s on another connection. If that is never answered (its connection is silent, or the answer was lost), the reader and every host below it held an old configuration to be less than a second old, until the call timed out after 5.2 s. The class of the fault: freshness claimed for data that was not checked.

Change: the data is as old as the one of configuration and servers that was confirmed longest ago. The long poll for the configuration lasts 0.9 s, so that its replies confirm as often as the polls for servers. Hosts leave a reader whose watch hangs once its data has reached their permitted staleness.

--- a/crates/process/gateway/src/store_watch.rs
+++ b/crates/process/gateway/src/store_watch.rs
@@ -5,14 +5,18 @@
 
 use {
     crate::{apply, shared::Shared, store_sync::DataSource, Adapter, StoreLayout},
-    std::time::{Duration, Instant},
+    std::{
+        cell::Cell,
+        time::{Duration, Instant},
+    },
     store::{Changes, Fault, Freshness, KeyPrefixStore, StoreRevision},
     tokio::{time::sleep, try_join},
 };
 
-/// Time for which one long poll waits for a change of the configuration. It
-/// bounds how long a connection that has gone silent hides changes.
-const CONFIG_WAIT: Duration = Duration::from_secs(4);
+/// Time for which one long poll waits for a change of the configuration. Each
+/// reply confirms the configuration, so this bounds the age that hosts which ask
+/// this one see.
+const CONFIG_WAIT: Duration = Duration::from_millis(900);
 /// Time for which one long poll waits for a change of the hosts.
 const HOSTS_WAIT: Duration = Duration::from_secs(10);
 /// Pause between polls for changes of servers. Servers write about once a
@@ -21,6 +25,36 @@
 /// store has recorded it.
 const SERVER_POLL_PAUSE: Duration = Duration::from_millis(900);
 
+/// Times at which the keys that requests depend on last matched the store.
+///
+/// The data as a whole is as old as the part that was confirmed longest ago: a
+/// watch that the store never answers must not be taken for one without changes.
+struct Confirmations {
+    config: Cell<Instant>,
+    servers: Cell<Instant>,
+}
+
+impl Confirmations {
+    fn new(at: Instant) -> Self {
+        Self {
+            config: Cell::new(at),
+            servers: Cell::new(at),
+        }
+    }
+
+    /// Records that the keys that begin with `prefix` matched the store at `at`.
+    fn confirm<A: Adapter>(&self, shared: &Shared<A>, prefix: &str, at: Instant) {
+        if prefix == A::Layout::CONFIG_KEY {
+            self.config.set(at);
+        } else if prefix == A::Layout::SERVER_PREFIX {
+            self.servers.set(at);
+        } else {
+            return;
+        }
+        shared.on_store_read(self.config.get().min(self.servers.get()));
+    }
+}
+
 /// Loads all keys and follows their changes until a call to the store fails.
 ///
 /// Calls `on_loaded` once all keys are loaded.
@@ -42,23 +76,15 @@
     // Peers get an answer only once all keys are loaded.
     shared.on_store_read(began);
     on_loaded();
+    let confirmations = Confirmations::new(began);
+    let watch = |prefix, after, wait, pause| {
+        let poll = Poll { wait, pause };
+        watch(shared, &confirmations, prefix, after, poll)
+    };
     try_join!(
+        watch(apply::HOST_PREFIX, hosts, HOSTS_WAIT, Duration::ZERO),
+        watch(A::Layout::CONFIG_KEY, config, CONFIG_WAIT, Duration::ZERO),
         watch(
-            shared,
-            apply::HOST_PREFIX,
-            hosts,
-            HOSTS_WAIT,
-            Duration::ZERO
-        ),
-        watch(
-            shared,
-            A::Layout::CONFIG_KEY,
-            config,
-            CONFIG_WAIT,
-            Duration::ZERO
-        ),
-        watch(
-            shared,
             A::Layout::SERVER_PREFIX,
             servers,
             Duration::ZERO,
@@ -85,31 +111,47 @@
     Ok(listing.revision)
 }
 
+/// How a prefix is polled for changes.
+#[derive(Clone, Copy)]
+struct Poll {
+    /// Time for which the store waits for a change before it replies.
+    wait: Duration,
+    /// Pause before each call.
+    pause: Duration,
+}
+
 /// Applies changes of keys that begin with `prefix` until a call fails.
 async fn watch<A: Adapter>(
     shared: &Shared<A>,
+    confirmations: &Confirmations,
     prefix: &str,
     mut after: StoreRevision,
-    wait: Duration,
-    pause: Duration,
+    poll: Poll,
 ) -> Result<(), Fault> {
     loop {
-        sleep(pause).await;
+        sleep(poll.pause).await;
         let began = Instant::now();
-        match shared.keys.wait_for_changes(prefix, after, wait).await? {
+        let changes = shared
+            .keys
+            .wait_for_changes(prefix, after, poll.wait)
+            .await?;
+        let mut confirmed_at = began;
+        match changes {
             Changes::Since { events, revision } => {
+                // The store had no change when it replied, which was not before
+                // the end of the wait.
+                if events.is_empty() && began.elapsed() >= poll.wait {
+                    confirmed_at = began + poll.wait;
+                }
                 apply::apply_events(shared, events);
                 after = revision;
             }
             Changes::Compacted => {
                 log::info!(target: "store", "The store has dropped old changes of {prefix}; all keys are read again.");
+                confirmed_at = Instant::now();
                 after = load(shared, prefix, Freshness::Current).await?;
             }
         }
-        if prefix == A::Layout::SERVER_PREFIX {
-            // Servers are polled about every second, so a successful poll
-            // stands for the whole store.
-            shared.on_store_read(began);
-        }
+        confirmations.confirm(shared, prefix, confirmed_at);
     }
 }
