Take from another source only what is newer than the own copy

Cause: a host that changes its source gets all keys from the new one, which may be up to its permitted staleness behind. The host kept the newer table in force, but put the older configuration into the cache that it hands on. As the newer one came again it was no change, so that hosts below, which had taken the older one, were never told. A removed server was new again in the same way. The class of the fault: a replica whose order of writes is that of their arrival.

Change: every key carries its revision in the store, between hosts too, and each range of keys the revision through which a copy is complete. A write or removal is applied if its revision is higher than that of the cached key; a key that is not cached is taken from a host only if it was written after the revision through which the own copy is complete; a key missing from a listing is removed unless it was written later. The protocol between hosts has version 3.

--- a/crates/process/gateway/src/apply.rs
+++ b/crates/process/gateway/src/apply.rs
@@ -1,17 +1,24 @@
 //! Applies changes of the store to the state of this host.
 
 use {
-    crate::{membership::HostRecord, shared::Shared, Adapter, StoreLayout},
+    crate::{
+        membership::HostRecord,
+        peer::ChangesReply,
+        shared::Shared,
+        store_cache::{KeyRange, KEY_RANGES},
+        Adapter, StoreLayout,
+    },
     replica::{EntryChange, ServerId},
     routing::Table,
     std::{collections::HashSet, sync::Arc, time::Instant},
-    store::{Item, KeyEvent},
+    store::{Item, KeyEvent, Listing, StoreRevision},
 };
 
 /// Prefix of the keys of hosts.
 pub(crate) const HOST_PREFIX: &str = "wharf/hosts/";
 
-/// Applies events of the store, and wakes waiting peers if they changed anything.
+/// Applies events of the store that are newer than the cache, and wakes waiting
+/// peers if they changed anything.
 pub(crate) fn apply_events<A: Adapter>(
     shared: &Shared<A>,
     events: impl IntoIterator<Item = KeyEvent>,
@@ -19,9 +26,12 @@
     let mut has_changed = false;
     let mut have_hosts_changed = false;
     for event in events {
+        if !shared.store_cache.borrow().is_news(&event) {
+            continue;
+        }
         let (key, is_change) = match &event {
             KeyEvent::Written(item) => (&item.key, apply_write(shared, item)),
-            KeyEvent::Removed(key) => (key, apply_removal(shared, key)),
+            KeyEvent::Removed { key, .. } => (key, apply_removal(shared, key)),
         };
         if let Some(is_change) = is_change {
             has_changed |= is_change;
@@ -37,18 +47,62 @@
     }
 }
 
-/// Applies a listing of all keys that begin with `prefix`; known keys that are
-/// not among them are removed.
-pub(crate) fn apply_listing<A: Adapter>(shared: &Shared<A>, prefix: &str, items: Vec<Item>) {
-    let listed: HashSet<&String> = items.iter().map(|item| &item.key).collect();
-    let cached = shared.store_cache.borrow().keys(prefix);
-    let removed = cached.into_iter().filter(|key| !listed.contains(key));
-    let removed: Vec<KeyEvent> = removed.map(KeyEvent::Removed).collect();
-    apply_events(
-        shared,
-        items.into_iter().map(KeyEvent::Written).chain(removed),
-    );
-    if prefix == A::Layout::SERVER_PREFIX {
+/// Applies a listing of all keys of `range` at `revision`; known keys that are not
+/// among them are removed, unless they were written later.
+pub(crate) fn apply_listing<A: Adapter>(shared: &Shared<A>, range: KeyRange, listing: Listing) {
+    let mut events: Vec<KeyEvent> = listing.items.into_iter().map(KeyEvent::Written).collect();
+    events.extend(unlisted(shared, range, &events, listing.revision));
+    apply_events(shared, events);
+    on_range_applied(shared, range, listing.revision);
+}
+
+/// Applies what another host has sent: all keys, or the changes since its last reply.
+///
+/// That host may be behind the one that was asked before, so only what is newer
+/// than the cache is taken.
+pub(crate) fn apply_reply<A: Adapter>(shared: &Shared<A>, reply: ChangesReply) {
+    let mut events_by_range: [Vec<KeyEvent>; KEY_RANGES] = Default::default();
+    for item in reply.items {
+        if let Some(range) = KeyRange::of::<A::Layout>(&item.key) {
+            events_by_range[range as usize].push(item.into());
+        }
+    }
+    for (range, mut events) in KeyRange::ALL.into_iter().zip(events_by_range) {
+        let revision = reply.complete_through[range as usize];
+        if reply.is_full {
+            events.extend(unlisted(shared, range, &events, revision));
+        }
+        events.retain(|event| shared.store_cache.borrow().is_peer_news(event, range));
+        apply_events(shared, events);
+        on_range_applied(shared, range, revision);
+    }
+}
+
+/// Returns the removals of cached keys that are missing from `events`, the writes
+/// of all keys of `range` at `revision`.
+fn unlisted<A: Adapter>(
+    shared: &Shared<A>,
+    range: KeyRange,
+    events: &[KeyEvent],
+    revision: StoreRevision,
+) -> Vec<KeyEvent> {
+    let listed: HashSet<&str> = events.iter().map(KeyEvent::key).collect();
+    let prefix = range.prefix::<A::Layout>();
+    let cached = shared.store_cache.borrow().keys(prefix, revision);
+    let missing = cached
+        .into_iter()
+        .filter(|key| !listed.contains(key.as_str()));
+    missing
+        .map(|key| KeyEvent::Removed { key, revision })
+        .collect()
+}
+
+fn on_range_applied<A: Adapter>(shared: &Shared<A>, range: KeyRange, revision: StoreRevision) {
+    shared
+        .store_cache
+        .borrow_mut()
+        .set_complete_through(range, revision);
+    if range == KeyRange::Servers {
         shared.has_servers.set(true);
     }
     shared.update_readiness();
--- a/crates/process/gateway/src/peer.rs
+++ b/crates/process/gateway/src/peer.rs
@@ -7,7 +7,8 @@
 
 use {
     crate::{
-        connections::enable_dead_peer_detection, relay_server, shared::Shared, store_sync, Adapter,
+        connections::enable_dead_peer_detection, relay_server, shared::Shared,
+        store_cache::KEY_RANGES, store_sync, Adapter,
     },
     futures::StreamExt,
     kind::{Error, Kind, Result},
@@ -18,6 +19,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
+    store::{Item, KeyEvent, StoreRevision},
     tarpc::{
         client::{Config, RpcError},
         context::{self, Context},
@@ -34,7 +36,7 @@
 };
 
 /// Version of the protocol between hosts.
-pub(crate) const PROTOCOL_VERSION: u16 = 2;
+pub(crate) const PROTOCOL_VERSION: u16 = 3;
 /// Largest message, in bytes. A whole configuration and all servers fit.
 const MAX_FRAME_BYTES: usize = 16 * 1_024 * 1_024;
 /// Longest time for opening a connection to a peer.
@@ -59,6 +61,26 @@
 pub(crate) struct WireItem {
     pub(crate) key: String,
     pub(crate) value: Option<Vec<u8>>,
+    /// Revision of the write or removal in the store.
+    pub(crate) revision: StoreRevision,
+}
+
+impl From<WireItem> for KeyEvent {
+    fn from(item: WireItem) -> Self {
+        let WireItem {
+            key,
+            value,
+            revision,
+        } = item;
+        match value {
+            Some(bytes) => Self::Written(Item {
+                key,
+                bytes: bytes.into(),
+                revision,
+            }),
+            None => Self::Removed { key, revision },
+        }
+    }
 }
 
 /// Changes of the store's keys, or all keys.
@@ -73,6 +95,9 @@
     pub(crate) age_ms: u32,
     /// Whether `items` holds all keys, so that keys not in it were removed.
     pub(crate) is_full: bool,
+    /// Revisions of the store up to which the data is complete, by
+    /// [`KeyRange`](crate::store_cache::KeyRange).
+    pub(crate) complete_through: [StoreRevision; KEY_RANGES],
     /// Written and removed keys.
     pub(crate) items: Vec<WireItem>,
 }
--- a/crates/process/gateway/src/store_cache.rs
+++ b/crates/process/gateway/src/store_cache.rs
@@ -4,16 +4,53 @@
 //! changed since the last one that it received.
 
 use {
-    crate::peer::{ChangesReply, WireItem},
+    crate::{
+        apply::HOST_PREFIX,
+        peer::{ChangesReply, WireItem},
+        StoreLayout,
+    },
     bytes::Bytes,
     rand::Rng,
     std::{
         collections::HashMap,
         time::{Duration, Instant},
     },
-    store::KeyEvent,
+    store::{KeyEvent, StoreRevision},
 };
 
+/// Number of [`KeyRange`]s.
+pub(crate) const KEY_RANGES: usize = 3;
+
+/// Keys that are listed and watched together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum KeyRange {
+    /// The keys of hosts.
+    Hosts,
+    /// The configuration.
+    Config,
+    /// The keys of servers.
+    Servers,
+}
+
+impl KeyRange {
+    pub(crate) const ALL: [Self; KEY_RANGES] = [Self::Hosts, Self::Config, Self::Servers];
+
+    /// Returns the range that holds `key`, if any does.
+    pub(crate) fn of<L: StoreLayout>(key: &str) -> Option<Self> {
+        let mut ranges = Self::ALL.into_iter();
+        ranges.find(|range| key.starts_with(range.prefix::<L>()))
+    }
+
+    /// Returns the prefix of the keys.
+    pub(crate) fn prefix<L: StoreLayout>(self) -> &'static str {
+        match self {
+            Self::Hosts => HOST_PREFIX,
+            Self::Config => L::CONFIG_KEY,
+            Self::Servers => L::SERVER_PREFIX,
+        }
+    }
+}
+
 /// Largest number of removed keys that are remembered. A peer that asks for
 /// changes older than these gets all keys.
 const MAX_REMOVED_KEYS: usize = 4_096;
@@ -25,9 +62,17 @@
 struct CachedValue {
     /// Sequence number of the last change.
     sequence: u64,
+    /// Revision of the last write, whether it was a change or not.
+    revision: StoreRevision,
     bytes: Bytes,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Removal {
+    sequence: u64,
+    revision: StoreRevision,
+}
+
 /// Keys and values of the store with the sequence numbers of their changes.
 #[derive(Debug)]
 pub(crate) struct StoreCache {
@@ -35,10 +80,11 @@
     epoch: u64,
     last_sequence: u64,
     values: HashMap<String, CachedValue>,
-    /// Removed keys with the sequence numbers of their removal.
-    removed: HashMap<String, u64>,
+    removed: HashMap<String, Removal>,
     /// Removals with sequence numbers up to this one are no longer remembered.
     pruned_through: u64,
+    /// Revisions up to which all changes of each range are applied.
+    complete_through: [StoreRevision; KEY_RANGES],
     /// Latest time at which the whole cache was known to match the store.
     read_at: Option<Instant>,
     /// The same, but only advanced by [`MIN_CONFIRMATION_STEP`] or more.
@@ -54,6 +100,7 @@
             values: HashMap::new(),
             removed: HashMap::new(),
             pruned_through: 0,
+            complete_through: [0; KEY_RANGES],
             read_at: None,
             confirmed_at: None,
         }
@@ -70,22 +117,26 @@
             KeyEvent::Written(item) => {
                 let is_cached = self.values.contains_key(&item.key);
                 let sequence = self.next_sequence_if(is_change || !is_cached);
-                let bytes = item.bytes.clone();
                 self.removed.remove(&item.key);
                 let cached = self.values.entry(item.key.clone());
                 let cached = cached.or_insert_with(|| CachedValue {
                     sequence,
+                    revision: item.revision,
                     bytes: Bytes::new(),
                 });
-                cached.bytes = bytes;
+                cached.bytes = item.bytes.clone();
+                cached.revision = item.revision;
                 if is_change {
                     cached.sequence = sequence;
                 }
             }
-            KeyEvent::Removed(key) => {
+            KeyEvent::Removed { key, revision } => {
                 if self.values.remove(key).is_some() {
-                    let sequence = self.next_sequence_if(true);
-                    self.removed.insert(key.clone(), sequence);
+                    let removal = Removal {
+                        sequence: self.next_sequence_if(true),
+                        revision: *revision,
+                    };
+                    self.removed.insert(key.clone(), removal);
                     self.prune_removed();
                 }
             }
@@ -104,10 +155,36 @@
         }
     }
 
-    /// Returns the cached keys that begin with `prefix`.
-    pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
-        let keys = self.values.keys().filter(|key| key.starts_with(prefix));
-        keys.cloned().collect()
+    /// Returns whether an event of the store is newer than what is cached.
+    pub(crate) fn is_news(&self, event: &KeyEvent) -> bool {
+        let cached = self.values.get(event.key());
+        cached.is_none_or(|cached| event.revision() > cached.revision)
+    }
+
+    /// Returns whether an event from another host is newer than what is cached.
+    ///
+    /// That host may be behind this one: a key that is not cached had been removed
+    /// by the revision through which `range` is complete.
+    pub(crate) fn is_peer_news(&self, event: &KeyEvent, range: KeyRange) -> bool {
+        if self.values.contains_key(event.key()) {
+            return self.is_news(event);
+        }
+        event.revision() > self.complete_through[range as usize]
+    }
+
+    /// Records that all changes of `range` up to `revision` are applied.
+    pub(crate) fn set_complete_through(&mut self, range: KeyRange, revision: StoreRevision) {
+        let known = &mut self.complete_through[range as usize];
+        *known = revision.max(*known);
+    }
+
+    /// Returns the cached keys that begin with `prefix` and were not written after
+    /// `revision`.
+    pub(crate) fn keys(&self, prefix: &str, revision: StoreRevision) -> Vec<String> {
+        let cached = self.values.iter();
+        let cached =
+            cached.filter(|(key, cached)| key.starts_with(prefix) && cached.revision <= revision);
+        cached.map(|(key, _)| key.clone()).collect()
     }
 
     /// Records that the whole cache matched the store at `at`, and returns
@@ -151,14 +228,16 @@
         let written = written.map(|(key, cached)| WireItem {
             key: key.clone(),
             value: Some(cached.bytes.to_vec()),
+            revision: cached.revision,
         });
         let removed = self
             .removed
             .iter()
-            .filter(|(_, sequence)| !is_full && **sequence > after);
-        let removed = removed.map(|(key, _)| WireItem {
+            .filter(|(_, removal)| !is_full && removal.sequence > after);
+        let removed = removed.map(|(key, removal)| WireItem {
             key: key.clone(),
             value: None,
+            revision: removal.revision,
         });
         let age = self.age(now).unwrap_or(Duration::MAX);
         ChangesReply {
@@ -166,6 +245,7 @@
             last: self.last_sequence,
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
             is_full,
+            complete_through: self.complete_through,
             items: written.chain(removed).collect(),
         }
     }
--- a/crates/process/gateway/src/store_sync.rs
+++ b/crates/process/gateway/src/store_sync.rs
@@ -7,10 +7,11 @@
 use {
     crate::{
         apply,
-        peer::{self, ChangesReply, ChangesRequest, WireItem, PROTOCOL_VERSION},
+        peer::{self, ChangesReply, ChangesRequest, PROTOCOL_VERSION},
         shared::Shared,
+        store_cache::KeyRange,
         store_retry::StoreRetry,
-        store_watch, Adapter, StoreLayout,
+        store_watch, Adapter,
     },
     fleet::{Member, SourceTree},
     kind::{Error, Kind, Result},
@@ -22,7 +23,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    store::{Fault, Freshness, Item, KeyEvent},
+    store::{Fault, Freshness},
     tokio::{
         select,
         time::{sleep, timeout, timeout_at},
@@ -207,13 +208,13 @@
     if shared.settings.is_new_fleet {
         sleep(FLEET_START_SPREAD).await;
     } else {
-        store_watch::load(shared, apply::HOST_PREFIX, Freshness::MayBeStale).await?;
+        store_watch::load(shared, KeyRange::Hosts, Freshness::MayBeStale).await?;
         shared.on_discovered();
         if shared.members.borrow().has_other_than(&own.id) {
             return Ok(());
         }
     }
-    store_watch::load(shared, apply::HOST_PREFIX, Freshness::Current)
+    store_watch::load(shared, KeyRange::Hosts, Freshness::Current)
         .await
         .map(|_| ())
 }
@@ -320,7 +321,7 @@
     }
     (sources.epoch, sources.after) = (reply.epoch, reply.last);
     shared.on_data_source(DataSource::Peer(peer_addr), age);
-    apply_reply(shared, reply);
+    apply::apply_reply(shared, reply);
     let read_at = Instant::now().checked_sub(age);
     shared.on_store_read(read_at.unwrap_or_else(Instant::now));
     Ok(PeerData::Applied)
@@ -345,34 +346,3 @@
     };
     Err(Error::new(Kind::HostLost, detail))
 }
-
-fn apply_reply<A: Adapter>(shared: &Shared<A>, reply: ChangesReply) {
-    let events = reply.items.into_iter().map(key_event);
-    if !reply.is_full {
-        apply::apply_events(shared, events);
-        return;
-    }
-    let items = events.filter_map(|event| match event {
-        KeyEvent::Written(item) => Some(item),
-        KeyEvent::Removed(_) => None,
-    });
-    let items: Vec<Item> = items.collect();
-    for prefix in [
-        apply::HOST_PREFIX,
-        A::Layout::CONFIG_KEY,
-        A::Layout::SERVER_PREFIX,
-    ] {
-        let of_prefix = items.iter().filter(|item| item.key.starts_with(prefix));
-        apply::apply_listing(shared, prefix, of_prefix.cloned().collect());
-    }
-}
-
-fn key_event(item: WireItem) -> KeyEvent {
-    match item.value {
-        Some(value) => KeyEvent::Written(Item {
-            key: item.key,
-            bytes: value.into(),
-        }),
-        None => KeyEvent::Removed(item.key),
-    }
-}
--- a/crates/process/gateway/src/store_watch.rs
+++ b/crates/process/gateway/src/store_watch.rs
@@ -4,7 +4,7 @@
 //! is not an empty listing.
 
 use {
-    crate::{apply, shared::Shared, store_sync::DataSource, Adapter, StoreLayout},
+    crate::{apply, shared::Shared, store_cache::KeyRange, store_sync::DataSource, Adapter},
     std::{
         cell::Cell,
         time::{Duration, Instant},
@@ -42,14 +42,12 @@
         }
     }
 
-    /// Records that the keys that begin with `prefix` matched the store at `at`.
-    fn confirm<A: Adapter>(&self, shared: &Shared<A>, prefix: &str, at: Instant) {
-        if prefix == A::Layout::CONFIG_KEY {
-            self.config.set(at);
-        } else if prefix == A::Layout::SERVER_PREFIX {
-            self.servers.set(at);
-        } else {
-            return;
+    /// Records that the keys of `range` matched the store at `at`.
+    fn confirm<A: Adapter>(&self, shared: &Shared<A>, range: KeyRange, at: Instant) {
+        match range {
+            KeyRange::Hosts => return,
+            KeyRange::Config => self.config.set(at),
+            KeyRange::Servers => self.servers.set(at),
         }
         shared.on_store_read(self.config.get().min(self.servers.get()));
     }
@@ -68,24 +66,24 @@
 ) -> Result<(), Fault> {
     let began = Instant::now();
     // The shortest listing comes first, so that a store that fails gets one call.
-    let config = load(shared, A::Layout::CONFIG_KEY, Freshness::Current).await?;
+    let config = load(shared, KeyRange::Config, Freshness::Current).await?;
     let (hosts, servers) = try_join!(
-        load(shared, apply::HOST_PREFIX, Freshness::Current),
-        load(shared, A::Layout::SERVER_PREFIX, Freshness::Current),
+        load(shared, KeyRange::Hosts, Freshness::Current),
+        load(shared, KeyRange::Servers, Freshness::Current),
     )?;
     // Peers get an answer only once all keys are loaded.
     shared.on_store_read(began);
     on_loaded();
     let confirmations = Confirmations::new(began);
-    let watch = |prefix, after, wait, pause| {
+    let watch = |range, after, wait, pause| {
         let poll = Poll { wait, pause };
-        watch(shared, &confirmations, prefix, after, poll)
+        watch(shared, &confirmations, range, after, poll)
     };
     try_join!(
-        watch(apply::HOST_PREFIX, hosts, HOSTS_WAIT, Duration::ZERO),
-        watch(A::Layout::CONFIG_KEY, config, CONFIG_WAIT, Duration::ZERO),
+        watch(KeyRange::Hosts, hosts, HOSTS_WAIT, Duration::ZERO),
+        watch(KeyRange::Config, config, CONFIG_WAIT, Duration::ZERO),
         watch(
-            A::Layout::SERVER_PREFIX,
+            KeyRange::Servers,
             servers,
             Duration::ZERO,
             SERVER_POLL_PAUSE
@@ -94,21 +92,23 @@
     .map(|_| ())
 }
 
-/// Loads all keys that begin with `prefix`, and returns the revision from which
-/// to follow changes.
+/// Loads all keys of `range`, and returns the revision from which to follow
+/// changes.
 ///
 /// # Errors
 ///
 /// Returns the fault of the call.
 pub(crate) async fn load<A: Adapter>(
     shared: &Shared<A>,
-    prefix: &str,
+    range: KeyRange,
     freshness: Freshness,
 ) -> Result<StoreRevision, Fault> {
+    let prefix = range.prefix::<A::Layout>();
     let listing = shared.keys.list(prefix, freshness).await?;
+    let revision = listing.revision;
     shared.on_data_source(DataSource::Store, Duration::ZERO);
-    apply::apply_listing(shared, prefix, listing.items);
-    Ok(listing.revision)
+    apply::apply_listing(shared, range, listing);
+    Ok(revision)
 }
 
 /// How a prefix is polled for changes.
@@ -120,14 +120,15 @@
     pause: Duration,
 }
 
-/// Applies changes of keys that begin with `prefix` until a call fails.
+/// Applies changes of the keys of `range` until a call fails.
 async fn watch<A: Adapter>(
     shared: &Shared<A>,
     confirmations: &Confirmations,
-    prefix: &str,
+    range: KeyRange,
     mut after: StoreRevision,
     poll: Poll,
 ) -> Result<(), Fault> {
+    let prefix = range.prefix::<A::Layout>();
     loop {
         sleep(poll.pause).await;
         let began = Instant::now();
@@ -144,14 +145,16 @@
                     confirmed_at = began + poll.wait;
                 }
                 apply::apply_events(shared, events);
+                let mut store_cache = shared.store_cache.borrow_mut();
+                store_cache.set_complete_through(range, revision);
                 after = revision;
             }
             Changes::Compacted => {
                 log::info!(target: "store", "The store has dropped old changes of {prefix}; all keys are read again.");
                 confirmed_at = Instant::now();
-                after = load(shared, prefix, Freshness::Current).await?;
+                after = load(shared, range, Freshness::Current).await?;
             }
         }
-        confirmations.confirm(shared, prefix, confirmed_at);
+        confirmations.confirm(shared, range, confirmed_at);
     }
 }
--- a/crates/process/store/src/keys.rs
+++ b/crates/process/store/src/keys.rs
@@ -20,6 +20,8 @@
     pub key: String,
     /// Value.
     pub bytes: Bytes,
+    /// Revision of the write.
+    pub revision: StoreRevision,
 }
 
 /// The result of listing keys by prefix.
@@ -37,7 +39,30 @@
     /// The key was written.
     Written(Item),
     /// The key was removed.
-    Removed(String),
+    Removed {
+        /// Key.
+        key: String,
+        /// Revision of the removal, or a later one.
+        revision: StoreRevision,
+    },
+}
+
+impl KeyEvent {
+    /// Returns the key that was written or removed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Written(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+
+    /// Returns the revision of the write or removal.
+    pub fn revision(&self) -> StoreRevision {
+        match self {
+            Self::Written(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
 }
 
 /// Changes since a revision.
