Read the store in time although other hosts do not answer

Callers of single hosts got answers by a configuration that a newer one had replaced more than 3 s before (CONFIG).

Cause: a host that had lost its source asked up to five other hosts in turn, each for 0.9 s, before it read the store, and again after 3 s. Hosts that lose power stay listed for 15 s. A connection on which a host did not answer in time was kept and used for the next call. The class of the fault: a bound on the age of data that does not cover the time it takes to find newer data.

Change: a host that was not asked last answers at once, so that it is given 0.4 s in place of 0.9 s; once the own data has reached its permitted staleness, the next failure leads to the store; the largest permitted staleness is 2.2 s in place of 2.7 s; the connection is dropped when a call times out. A starting host waits for others as long as before.

--- a/crates/process/fleet/src/reader.rs
+++ b/crates/process/fleet/src/reader.rs
@@ -32,8 +32,12 @@
 /// host takes over rather than all of them at once.
 const STALENESS_LIMIT_STEP: Duration = Duration::from_millis(350);
 /// Upper bound of the maximum staleness. A draining server keeps serving for at least 3 s after the
-/// store records the drain, and hosts must learn of it within that time.
-const MAX_STALENESS_LIMIT: Duration = Duration::from_millis(2_700);
+/// store records the drain, and hosts must learn of it within that time, which includes a source
+/// that does not answer and the reading of the store.
+const MAX_STALENESS_LIMIT: Duration = Duration::from_millis(2_200);
+
+/// Upper bound of the time for which a starting host waits for others.
+const MAX_STARTUP_WAIT: Duration = Duration::from_millis(2_700);
 
 /// How a host obtains the state of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -42,6 +46,9 @@
     pub candidates: Vec<&'a Member>,
     /// Age of the others' state from which the host tries the next source.
     pub max_staleness: Duration,
+    /// Time for which the host, if it starts without any state, waits for others
+    /// before it reads the store.
+    pub startup_wait: Duration,
 }
 
 /// The order in which hosts read the store for each other.
@@ -105,7 +112,8 @@
             .filter(|member| member.region != own.region);
         StoreSource {
             candidates: deduplicate_without(&own.id, ancestors.chain(nearby).chain(remote)),
-            max_staleness: max_staleness(rank),
+            max_staleness: takeover_time(rank).min(MAX_STALENESS_LIMIT),
+            startup_wait: takeover_time(rank).min(MAX_STARTUP_WAIT),
         }
     }
 }
@@ -125,12 +133,11 @@
     std::iter::successors(parent(&position), parent)
 }
 
-fn max_staleness(rank: Option<usize>) -> Duration {
+/// Returns the time without a source after which the host of `rank` takes over.
+fn takeover_time(rank: Option<usize>) -> Duration {
     let steps = rank.map_or(u32::MAX, |rank| u32::try_from(rank).unwrap_or(u32::MAX));
     let additional = STALENESS_LIMIT_STEP.saturating_mul(steps);
-    MIN_STALENESS_LIMIT
-        .saturating_add(additional)
-        .min(MAX_STALENESS_LIMIT)
+    MIN_STALENESS_LIMIT.saturating_add(additional)
 }
 
 fn deduplicate_without<'a>(
--- a/crates/process/gateway/src/peer.rs
+++ b/crates/process/gateway/src/peer.rs
@@ -246,6 +246,11 @@
     pub(crate) fn round_trip(&self, addr: SocketAddr) -> Option<Duration> {
         self.round_trips.get(&addr).copied()
     }
+
+    /// Drops the connection to a peer, so that the next call opens another one.
+    pub(crate) fn disconnect(&mut self, addr: SocketAddr) {
+        self.clients.remove(&addr);
+    }
 }
 
 /// Fetches changes of the store's keys from the peer at `addr`.
@@ -306,7 +311,7 @@
 ) -> Result<T> {
     reply.unwrap_or_else(|error| {
         // The connection may be broken or silent; the next call opens a new one.
-        shared.peers.borrow_mut().clients.remove(&addr);
+        shared.peers.borrow_mut().disconnect(addr);
         Err(Error::new(Kind::HostLost, format!("{addr}: {error}")))
     })
 }
--- a/crates/process/gateway/src/store_sync.rs
+++ b/crates/process/gateway/src/store_sync.rs
@@ -110,6 +110,8 @@
     epoch: u64,
     /// Sequence number of the last change received from that peer.
     after: u64,
+    /// Address of that peer, `None` after the store was read.
+    current: Option<SocketAddr>,
     /// Time of the last fault of the store.
     store_fault_at: Option<Instant>,
 }
@@ -158,7 +160,7 @@
         };
         // Reads of the store have no position in the changes of a peer, so the
         // next peer has to send all keys.
-        sources.epoch = 0;
+        (sources.epoch, sources.current) = (0, None);
         if let Some(fault) = fault {
             sources.store_fault_at = Some(Instant::now());
             let pause = retry.on_fault(&fault, shared.hosts.get());
@@ -231,14 +233,15 @@
     let own = &shared.settings.member;
     let tree = shared.members.borrow_mut().sources();
     let source = tree.source(own, false);
-    let until = Instant::now() + source.max_staleness;
+    let until = Instant::now() + source.startup_wait;
     let in_region = source
         .candidates
         .into_iter()
         .filter(|peer| peer.region == own.region);
     for peer in in_region.take(MAX_STARTUP_PEERS) {
         while Instant::now() < until {
-            let sync = sync_from(shared, sources, peer.peer_addr, source.max_staleness);
+            let max_age = source.max_staleness;
+            let sync = sync_from(shared, sources, peer.peer_addr, max_age, MAX_CHANGES_WAIT);
             match timeout_at(until.into(), sync).await {
                 Ok(Ok(PeerData::Applied)) => return,
                 Ok(Ok(PeerData::None)) => sleep(STARTUP_RETRY_PAUSE).await,
@@ -263,6 +266,9 @@
 
 /// Gets the changes from the first candidate that has recent data; returns
 /// whether there was one.
+///
+/// Stops at a failure once the own data has reached its permitted staleness, so
+/// that hosts that do not answer do not keep this one from reading the store.
 async fn sync_from_peers<A: Adapter>(shared: &Shared<A>, sources: &mut PeerSources) -> bool {
     let tree = shared.members.borrow_mut().sources();
     let own = &shared.settings.member;
@@ -275,6 +281,10 @@
                 sources.failed_at.insert(peer.id, Instant::now());
             }
         }
+        let age = shared.store_cache.borrow().age(Instant::now());
+        if age.is_some_and(|age| age >= max_age) {
+            return false;
+        }
     }
     false
 }
@@ -289,8 +299,8 @@
     None,
 }
 
-/// Gets the changes from one peer, and applies them unless they are older than
-/// `max_age`.
+/// Gets the changes from one peer, which waits for some up to `wait`, and applies
+/// them unless they are older than `max_age`.
 ///
 /// # Errors
 ///
@@ -301,17 +311,22 @@
     sources: &mut PeerSources,
     peer_addr: SocketAddr,
     max_age: Duration,
+    wait: Duration,
 ) -> Result<PeerData> {
     let request = ChangesRequest {
         protocol_version: PROTOCOL_VERSION,
         epoch: sources.epoch,
         after: sources.after,
-        wait_ms: u32::try_from(MAX_CHANGES_WAIT.as_millis()).unwrap_or(u32::MAX),
+        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
     };
-    let deadline = Instant::now() + MAX_CHANGES_WAIT + ROUND_TRIP_SLACK;
+    let deadline = Instant::now() + wait + ROUND_TRIP_SLACK;
     let fetch = peer::fetch_changes(shared, peer_addr, request, deadline);
-    let reply = timeout(MAX_CHANGES_WAIT + ROUND_TRIP_SLACK, fetch).await;
-    let reply = reply.map_err(|_| Error::new(Kind::HostLost, "no answer in time"))??;
+    let reply = timeout_at(deadline.into(), fetch).await;
+    let reply = reply.map_err(|_| {
+        // The connection may have gone silent; the next call opens another one.
+        shared.peers.borrow_mut().disconnect(peer_addr);
+        Error::new(Kind::HostLost, "no answer in time")
+    })??;
     if reply.age_ms == u32::MAX {
         return Ok(PeerData::None);
     }
@@ -320,6 +335,7 @@
         return Ok(PeerData::Outdated(age));
     }
     (sources.epoch, sources.after) = (reply.epoch, reply.last);
+    sources.current = Some(peer_addr);
     shared.on_data_source(DataSource::Peer(peer_addr), age);
     apply::apply_reply(shared, reply);
     let read_at = Instant::now().checked_sub(age);
@@ -339,7 +355,14 @@
     peer_addr: SocketAddr,
     max_age: Duration,
 ) -> Result<()> {
-    let detail = match sync_from(shared, sources, peer_addr, max_age).await? {
+    // A peer that was not asked last sends all keys at once, if it has any.
+    let may_wait = sources.current == Some(peer_addr) || !shared.has_store_state();
+    let wait = if may_wait {
+        MAX_CHANGES_WAIT
+    } else {
+        Duration::ZERO
+    };
+    let detail = match sync_from(shared, sources, peer_addr, max_age, wait).await? {
         PeerData::Applied => return Ok(()),
         PeerData::Outdated(age) => format!("its data is {} ms old", age.as_millis()),
         PeerData::None => "it has no data yet".to_owned(),
