Hold back requests that have ended servers, on all hosts

Cause: the gateway kept nothing about a request beyond its end, and each host knew only its own calls. The class of the fault: a limit on harm that is counted for each attempt, not for the request.

Change: link::CrashLedger counts, by fingerprint, the incarnations of servers that were lost during a request without any answer. Hosts report such losses to the owner of the fingerprint, a host chosen by rendezvous hashing. After three, the owner puts a hold into the store, from where all hosts learn it; it is refused as 'not run' with 503 until the hold ends. Two canaries of the owner, one server of each shard each, end a hold that began by mistake. Hosts list the prefix wharf/ in place of wharf/hosts/, so that holds cost no further calls; the test that counts these listings names the new prefix and keeps its bound.

--- a/crates/connection/link/src/fingerprint.rs
+++ b/crates/connection/link/src/fingerprint.rs
@@ -36,6 +36,17 @@
     hash.digest()
 }
 
+/// Returns the fingerprint of a request that consists of `fields`, such as its
+/// method, path and body.
+pub fn fingerprint_of_fields<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    for field in fields {
+        add_length(&mut hash, b'f', field.len());
+        hash.update(field);
+    }
+    hash.digest()
+}
+
 fn add_value(hash: &mut Xxh3, value: &Value) {
     match value {
         Value::Null => hash.update(b"n"),
--- a/crates/connection/link/src/lib.rs
+++ b/crates/connection/link/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod back_off;
 mod call_limit;
+mod crash_ledger;
 mod delta;
 mod evidence;
 mod fingerprint;
@@ -22,12 +23,13 @@
 
 pub use crate::{
     back_off::BackOff,
+    crash_ledger::{Admission, CrashLedger},
     delta::{
         DeltaError, QuarantineDelta, QuarantinedFingerprint, ReportedCrash, WireCrash,
         WireQuarantineDelta, WireQuarantinedFingerprint,
     },
     evidence::{Evidence, Refusal, ServerReport},
-    fingerprint::{fingerprint, owner_weight, Fingerprint},
+    fingerprint::{fingerprint, fingerprint_of_fields, owner_weight, Fingerprint},
     pool::{CheckedOutConnection, CheckoutDecision, Pool, PoolConfig},
     quarantine::{Clearance, Outcome, Quarantine},
     server::DrainSign,
--- a/crates/process/gateway/src/apply.rs
+++ b/crates/process/gateway/src/apply.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        crashes::{self, HoldRecord, HOLD_PREFIX},
         membership::HostRecord,
         peer::ChangesReply,
         shared::Shared,
@@ -10,10 +11,16 @@
     },
     replica::{EntryChange, ServerId},
     routing::Table,
-    std::{collections::HashSet, sync::Arc, time::Instant},
+    std::{
+        collections::HashSet,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     store::{Item, KeyEvent, Listing, StoreRevision},
 };
 
+/// Prefix of all keys that hosts write.
+pub(crate) const FLEET_PREFIX: &str = "wharf/";
 /// Prefix of the keys of hosts.
 pub(crate) const HOST_PREFIX: &str = "wharf/hosts/";
 
@@ -117,6 +124,9 @@
     if let Some(id) = item.key.strip_prefix(A::Layout::SERVER_PREFIX) {
         return apply_server(shared, &id.into(), item);
     }
+    if let Some(request) = item.key.strip_prefix(HOLD_PREFIX) {
+        return apply_hold(shared, request, item);
+    }
     item.key.strip_prefix(HOST_PREFIX)?;
     match serde_json::from_slice::<HostRecord>(&item.bytes) {
         Ok(host) => Some(shared.members.borrow_mut().insert(host)),
@@ -137,6 +147,11 @@
         }
         return Some(is_known);
     }
+    if let Some(request) = key.strip_prefix(HOLD_PREFIX) {
+        let request = crashes::held_request(request)?;
+        shared.crash_ledger.borrow_mut().release(request);
+        return Some(true);
+    }
     let id = key.strip_prefix(HOST_PREFIX)?;
     Some(shared.members.borrow_mut().remove(id, now))
 }
@@ -160,6 +175,18 @@
     }
 }
 
+fn apply_hold<A: Adapter>(shared: &Shared<A>, request: &str, item: &Item) -> Option<bool> {
+    let record = serde_json::from_slice::<HoldRecord>(&item.bytes);
+    let (Some(request), Ok(record)) = (crashes::held_request(request), record) else {
+        log::warn!(target: "crash", "The entry {} cannot be read.", item.key);
+        return None;
+    };
+    let hold = Duration::from_millis(record.hold_ms);
+    let mut crash_ledger = shared.crash_ledger.borrow_mut();
+    crash_ledger.hold(request, hold, Instant::now());
+    Some(true)
+}
+
 fn apply_config<A: Adapter>(shared: &Shared<A>, item: &Item) -> Option<bool> {
     match A::Layout::parse_table(&item.bytes).and_then(Table::try_from) {
         Ok(table) => Some(activate_table(shared, table)),
--- a/crates/process/gateway/src/call.rs
+++ b/crates/process/gateway/src/call.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        crashes,
         exchange::{self, ExchangeResult, FailedCall, OutgoingRequest},
         response::PartReply,
         server_selection::CallTarget,
@@ -103,6 +104,7 @@
     match exchange_result {
         Some(ExchangeResult { result, evidence }) => {
             open_call.finish(evidence);
+            crashes::on_call_ended(&shared, &outgoing, server, &result);
             let outcome = match &result {
                 Ok(_) => "ok",
                 Err(failed) => failed.failure.reason.as_str(),
--- a/crates/process/gateway/src/exchange.rs
+++ b/crates/process/gateway/src/exchange.rs
@@ -12,7 +12,7 @@
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     kind::Ran,
-    link::{CheckedOutConnection, Evidence, Refusal as RefusalEvidence},
+    link::{CheckedOutConnection, Evidence, Fingerprint, Refusal as RefusalEvidence},
     plan::{LeafFault, Reason, Refusal},
     replica::{ReplicaKey, ServerId},
     scatter::Failure,
@@ -49,6 +49,8 @@
     pub(crate) deadline: Instant,
     /// Whether only a success status is usable, as for a part of a merged response.
     pub(crate) needs_success: bool,
+    /// Identifies equal requests.
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// The result of a call and what it indicates about the server.
@@ -65,6 +67,9 @@
     pub(crate) reply: Option<Reply>,
     /// Whether the address now belongs to another server.
     pub(crate) is_misdirected: bool,
+    /// Whether the connection ended after the request was sent and before the reply
+    /// was complete.
+    pub(crate) is_connection_lost: bool,
 }
 
 impl From<Failure> for FailedCall {
@@ -73,6 +78,7 @@
             failure,
             reply: None,
             is_misdirected: false,
+            is_connection_lost: false,
         }
     }
 }
@@ -238,8 +244,10 @@
         ran,
         reached_server: ran != Ran::No,
     };
+    let mut failed = FailedCall::from(failure);
+    failed.is_connection_lost = matches!(fault, LeafFault::LostAfterWrite | LeafFault::LostInReply);
     ExchangeResult {
-        result: Err(failure.into()),
+        result: Err(failed),
         evidence,
     }
 }
@@ -315,6 +323,19 @@
     })
 }
 
+/// Returns the fingerprint of a request: its method, host, path, credentials and body.
+pub(crate) fn fingerprint(head: &request::Parts, body: &Bytes) -> Fingerprint {
+    let header = |name| head.headers.get(name).map_or(&b""[..], |v| v.as_bytes());
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    link::fingerprint_of_fields([
+        head.method.as_str().as_bytes(),
+        header(header::HOST),
+        path.as_bytes(),
+        header(header::AUTHORIZATION),
+        body,
+    ])
+}
+
 impl OutgoingRequest {
     fn request<A: Adapter>(&self, id: &ServerId, time_left: Duration) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -408,6 +429,7 @@
                         failure,
                         reply: Some(reply),
                         is_misdirected: false,
+                        is_connection_lost: false,
                     }),
                     evidence: Evidence::ConnectionLost,
                 }
@@ -430,6 +452,7 @@
                     },
                     reply: None,
                     is_misdirected: true,
+                    is_connection_lost: false,
                 }),
                 evidence: Evidence::Inconclusive,
             },
--- a/crates/process/gateway/src/lib.rs
+++ b/crates/process/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod call;
 mod connection_state;
 mod connections;
+mod crashes;
 mod exchange;
 mod listen;
 mod log_limiter;
--- a/crates/process/gateway/src/peer.rs
+++ b/crates/process/gateway/src/peer.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        connections::enable_dead_peer_detection, relay_server, shared::Shared,
+        connections::enable_dead_peer_detection, crashes, relay_server, shared::Shared,
         store_cache::KEY_RANGES, store_sync, Adapter,
     },
     futures::StreamExt,
@@ -142,6 +142,16 @@
     pub(crate) rest: Option<u64>,
 }
 
+/// Report to the owner of a request that a server was lost while it ran the request.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct CrashReport {
+    pub(crate) protocol_version: u16,
+    /// Fingerprint of the request.
+    pub(crate) request: u64,
+    /// Name of the server's incarnation.
+    pub(crate) server: String,
+}
+
 /// Calls that a host answers to its peers.
 #[tarpc::service]
 pub(crate) trait Peer {
@@ -151,6 +161,9 @@
     async fn gather(call: GatherCall) -> std::result::Result<GatherReply, Error>;
     /// Waits for the parts that were missing from a reply to `gather`.
     async fn rest(number: u64) -> std::result::Result<GatherReply, Error>;
+    /// Takes a report, and returns for how long the request is held back, in
+    /// milliseconds, if it is.
+    async fn crash(report: CrashReport) -> std::result::Result<Option<u32>, Error>;
 }
 
 struct PeerServer<A: Adapter>(Rc<Shared<A>>);
@@ -175,6 +188,12 @@
     async fn rest(self, _: Context, number: u64) -> Result<GatherReply> {
         relay_server::take_late_reply(&self.0, number).await
     }
+
+    async fn crash(self, _: Context, report: CrashReport) -> Result<Option<u32>> {
+        check_version(report.protocol_version)?;
+        let hold = crashes::on_reported(&self.0, report.request, &report.server);
+        Ok(hold.map(|hold| u32::try_from(hold.as_millis()).unwrap_or(u32::MAX)))
+    }
 }
 
 fn check_version(version: u16) -> Result<()> {
@@ -303,6 +322,22 @@
     peer_result(shared, addr, reply)
 }
 
+/// Reports the loss of a server to the peer at `addr`.
+///
+/// # Errors
+///
+/// Returns the errors of [`request_parts`].
+pub(crate) async fn report_crash<A: Adapter>(
+    shared: &Shared<A>,
+    addr: SocketAddr,
+    report: CrashReport,
+    deadline: Instant,
+) -> Result<Option<u32>> {
+    let client = client(shared, addr).await?;
+    let reply = client.crash(context_until(deadline), report).await;
+    peer_result(shared, addr, reply)
+}
+
 /// Flattens the result of a call, and drops the connection if the call failed.
 fn peer_result<A: Adapter, T>(
     shared: &Shared<A>,
--- a/crates/process/gateway/src/relay.rs
+++ b/crates/process/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use {
     crate::{
         call::CallResult,
+        crashes,
         exchange::{FailedCall, OutgoingRequest},
         membership::{with_most_cpu, HostRecord},
         peer::{self, GatherCall, GatherReply, PROTOCOL_VERSION},
@@ -272,6 +273,11 @@
             );
         }
     }
+    if let Some(Ok(reply)) = &reply {
+        if !reply.proofs.is_empty() {
+            crashes::on_answered(&shared, outgoing.fingerprint);
+        }
+    }
     deliver(&mut batch, reply, &outgoing, &result_sender);
     if let Some(number) = rest {
         // The relay sends the parts that are still missing in a second reply, if at all.
--- a/crates/process/gateway/src/relay_server.rs
+++ b/crates/process/gateway/src/relay_server.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         adapter::Reply,
-        exchange::OutgoingRequest,
+        exchange::{self, OutgoingRequest},
         peer::{GatherCall, GatherReply},
         response::PartReply,
         serve::{RequestContext, MIN_HEDGE_DELAY},
@@ -160,6 +160,7 @@
             route: &self.route,
             outgoing: &self.outgoing,
             relay_mode: RelayMode::IsRelay,
+            max_attempts: self.max_attempts,
         };
         let policy = QueryPolicy {
             deadline: self.deadline,
@@ -242,9 +243,11 @@
         head.headers.append(name, value);
     }
     let options = A::Protocol::read_request_options(&head.headers);
+    let body = call.body.into();
     Ok(OutgoingRequest {
+        fingerprint: exchange::fingerprint(&head, &body),
         head,
-        body: call.body.into(),
+        body,
         options,
         deadline,
         needs_success: true,
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -4,7 +4,8 @@
     crate::{
         adapter::Reply,
         call::{self, CallResult},
-        exchange::OutgoingRequest,
+        crashes,
+        exchange::{self, OutgoingRequest},
         relay::{self, RelayBatch},
         response::{self, CallerResponse, PartReply},
         server_selection::{CallTarget, RelayMode, ServerSelection},
@@ -17,6 +18,7 @@
     hyper::body::Incoming,
     kind::{Error, Kind, Ran, Result},
     linger::TrackedBody,
+    link::Admission,
     meter::RequestLabels,
     replica::ReplicaKey,
     routing::{Route, ServiceName, ShardSet, Table, Target},
@@ -109,7 +111,10 @@
         .min(route.timeout);
     let deadline = started_at + time_left;
     let body = read_body(body, &table, deadline).await?;
+    let fingerprint = exchange::fingerprint(&head, &body);
+    let admission = crashes::admit(shared, fingerprint)?;
     let outgoing = Rc::new(OutgoingRequest {
+        fingerprint,
         head,
         body,
         options,
@@ -122,6 +127,10 @@
         route: &route,
         outgoing: &outgoing,
         relay_mode: RelayMode::None,
+        max_attempts: match admission {
+            Admission::Canary => 1,
+            Admission::Run | Admission::Held(_) => route.max_attempts,
+        },
     };
     match &route.target {
         Target::Service(service) => {
@@ -234,6 +243,8 @@
     pub(crate) route: &'a Arc<Route>,
     pub(crate) outgoing: &'a Rc<OutgoingRequest>,
     pub(crate) relay_mode: RelayMode,
+    /// Largest number of servers of a service that the request may reach.
+    pub(crate) max_attempts: usize,
 }
 
 impl<A: Adapter> RequestContext<'_, A> {
@@ -250,7 +261,7 @@
             on_time_until: deadline,
             late_answer_at: deadline,
             min_share: 1.0,
-            max_attempts: self.route.max_attempts,
+            max_attempts: self.max_attempts,
             is_repeatable: self.route.is_repeatable,
             hedge_after: None,
             hedge_until: None,
@@ -286,7 +297,7 @@
             on_time_until: (answer_at + ON_TIME_SLACK).min(deadline),
             late_answer_at: (answer_at + self.route.target_latency).min(deadline),
             min_share: set.min_share,
-            max_attempts: self.route.max_attempts,
+            max_attempts: self.max_attempts,
             is_repeatable: self.route.is_repeatable,
             hedge_after: Some(MIN_HEDGE_DELAY),
             hedge_until: None,
@@ -375,6 +386,7 @@
                 .latency_medians
                 .borrow()
                 .median_ms(&self.route.name),
+            request: self.outgoing.fingerprint,
             relay_mode: self.relay_mode,
             table: self.table,
             zone_relays: Vec::new(),
--- a/crates/process/gateway/src/server_selection.rs
+++ b/crates/process/gateway/src/server_selection.rs
@@ -10,6 +10,7 @@
         shared::Shared,
         Adapter,
     },
+    link::Fingerprint,
     record::ZoneId,
     replica::{CallProfile, Pick, ReplicaKey},
     routing::{ServiceName, Table},
@@ -31,6 +32,8 @@
     pub(crate) shared: &'a Shared<A>,
     /// Usual time that servers work for a request of the route, in milliseconds.
     pub(crate) median_ms: f64,
+    /// Identifies the request.
+    pub(crate) request: Fingerprint,
     pub(crate) relay_mode: RelayMode,
     pub(crate) table: &'a Table,
     /// Relays chosen for all calls to a zone, or `None` where this host calls the
@@ -94,6 +97,13 @@
         max_servers: usize,
         now: Instant,
     ) -> Option<Candidate<CallTarget>> {
+        let is_held = || {
+            let crash_ledger = self.shared.crash_ledger.borrow();
+            crash_ledger.held_for(self.request, now).is_some()
+        };
+        if !tried.is_empty() && is_held() {
+            return None;
+        }
         let tried_servers = tried.iter().filter_map(|target| match target {
             CallTarget::Server(key) => Some(*key),
             CallTarget::Relay(_) => None,
--- a/crates/process/gateway/src/shared.rs
+++ b/crates/process/gateway/src/shared.rs
@@ -8,15 +8,18 @@
     anyhow::Result,
     fleet::LifecycleEvent,
     life::SharedLifecycle,
+    link::{CrashLedger, Fingerprint},
     meter::ForwardingMetrics,
     replica::{LatencyMedians, ServerDirectory},
     routing::Table,
     scatter::{DelayForecast, ExtraCallBudgets, WeightedSplits},
     std::{
         cell::{Cell, RefCell},
+        collections::HashMap,
         sync::Arc,
         time::{Duration, Instant},
     },
+    store::LeaseId,
     tokio::sync::Notify,
 };
 
@@ -34,6 +37,9 @@
     pub(crate) extra_call_budgets: RefCell<ExtraCallBudgets>,
     pub(crate) splits: RefCell<WeightedSplits>,
     pub(crate) delay_forecast: RefCell<DelayForecast>,
+    pub(crate) crash_ledger: RefCell<CrashLedger>,
+    /// Leases of the holds that this host has written to the store.
+    pub(crate) hold_leases: RefCell<HashMap<Fingerprint, LeaseId>>,
     pub(crate) connections: RefCell<Connections>,
     pub(crate) members: RefCell<Members>,
     pub(crate) peers: RefCell<Peers>,
@@ -75,6 +81,8 @@
             extra_call_budgets: RefCell::new(ExtraCallBudgets::new(settings.allowance, 1)),
             splits: RefCell::default(),
             delay_forecast: RefCell::default(),
+            crash_ledger: RefCell::default(),
+            hold_leases: RefCell::default(),
             connections: RefCell::default(),
             members: RefCell::default(),
             peers: RefCell::default(),
--- a/crates/process/gateway/src/store_cache.rs
+++ b/crates/process/gateway/src/store_cache.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        apply::HOST_PREFIX,
+        apply::FLEET_PREFIX,
         peer::{ChangesReply, WireItem},
         StoreLayout,
     },
@@ -24,8 +24,8 @@
 /// Keys that are listed and watched together.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum KeyRange {
-    /// The keys of hosts.
-    Hosts,
+    /// The keys that hosts write.
+    Fleet,
     /// The configuration.
     Config,
     /// The keys of servers.
@@ -33,7 +33,7 @@
 }
 
 impl KeyRange {
-    pub(crate) const ALL: [Self; KEY_RANGES] = [Self::Hosts, Self::Config, Self::Servers];
+    pub(crate) const ALL: [Self; KEY_RANGES] = [Self::Fleet, Self::Config, Self::Servers];
 
     /// Returns the range that holds `key`, if any does.
     pub(crate) fn of<L: StoreLayout>(key: &str) -> Option<Self> {
@@ -44,7 +44,7 @@
     /// Returns the prefix of the keys.
     pub(crate) fn prefix<L: StoreLayout>(self) -> &'static str {
         match self {
-            Self::Hosts => HOST_PREFIX,
+            Self::Fleet => FLEET_PREFIX,
             Self::Config => L::CONFIG_KEY,
             Self::Servers => L::SERVER_PREFIX,
         }
--- a/crates/process/gateway/src/store_sync.rs
+++ b/crates/process/gateway/src/store_sync.rs
@@ -210,13 +210,13 @@
     if shared.settings.is_new_fleet {
         sleep(FLEET_START_SPREAD).await;
     } else {
-        store_watch::load(shared, KeyRange::Hosts, Freshness::MayBeStale).await?;
+        store_watch::load(shared, KeyRange::Fleet, Freshness::MayBeStale).await?;
         shared.on_discovered();
         if shared.members.borrow().has_other_than(&own.id) {
             return Ok(());
         }
     }
-    store_watch::load(shared, KeyRange::Hosts, Freshness::Current)
+    store_watch::load(shared, KeyRange::Fleet, Freshness::Current)
         .await
         .map(|_| ())
 }
--- a/crates/process/gateway/src/store_watch.rs
+++ b/crates/process/gateway/src/store_watch.rs
@@ -45,7 +45,7 @@
     /// Records that the keys of `range` matched the store at `at`.
     fn confirm<A: Adapter>(&self, shared: &Shared<A>, range: KeyRange, at: Instant) {
         match range {
-            KeyRange::Hosts => return,
+            KeyRange::Fleet => return,
             KeyRange::Config => self.config.set(at),
             KeyRange::Servers => self.servers.set(at),
         }
@@ -68,7 +68,7 @@
     // The shortest listing comes first, so that a store that fails gets one call.
     let config = load(shared, KeyRange::Config, Freshness::Current).await?;
     let (hosts, servers) = try_join!(
-        load(shared, KeyRange::Hosts, Freshness::Current),
+        load(shared, KeyRange::Fleet, Freshness::Current),
         load(shared, KeyRange::Servers, Freshness::Current),
     )?;
     // Peers get an answer only once all keys are loaded.
@@ -80,7 +80,7 @@
         watch(shared, &confirmations, range, after, poll)
     };
     try_join!(
-        watch(KeyRange::Hosts, hosts, HOSTS_WAIT, Duration::ZERO),
+        watch(KeyRange::Fleet, hosts, HOSTS_WAIT, Duration::ZERO),
         watch(KeyRange::Config, config, CONFIG_WAIT, Duration::ZERO),
         watch(
             KeyRange::Servers,
--- a/crates/process/kind/src/table.rs
+++ b/crates/process/kind/src/table.rs
@@ -123,6 +123,8 @@
     HostLost, "host-lost", 502, Unknown, "The serving host was lost";
     /// The request is quarantined because it has crashed upstreams.
     Quarantined, "quarantined", 422, No, "The request has crashed upstreams";
+    /// The request is held back for a while because it has ended upstreams.
+    Held, "held", 503, No, "The request has ended upstreams";
     /// A peer and this host support no common protocol version.
     BadPeer, "bad-peer", 502, No, "No common protocol version";
     /// An internal error.
