Keep to the limit that a server names, all hosts together

Cause: nothing read Server-Limit; servers were picked by their latency and load alone, and each host knew only its own calls.

Change: replica::CallRate, a token bucket for each server that names a limit. Each host gets a share by who calls the server: the hosts of its region, or the relays of its service by rank. A server without a token is not picked and counts as delayed, so that queries which need it are refused at once.

--- a/crates/connection/replica/src/directory.rs
+++ b/crates/connection/replica/src/directory.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        forecast, server::Server, Distance, Locality, ReplicaKey, ReportedLoad, ServerEntry,
-        ServerId, ServerState,
+        forecast, server::Server, Distance, LimitShare, Locality, ReplicaKey, ReportedLoad,
+        ServerEntry, ServerId, ServerState,
     },
     link::Evidence,
     rand::Rng,
@@ -191,7 +191,8 @@
     ///
     /// Servers in `tried` are excluded. Ejected servers are picked only if no
     /// healthy one is left, and servers that left recently only if there is no
-    /// ejected one either.
+    /// ejected one either. Servers whose limit admits no further call now are never
+    /// picked.
     pub fn pick(
         &self,
         service: &ServiceName,
@@ -207,6 +208,9 @@
             let Some(tier) = tier(server, now) else {
                 continue;
             };
+            if !server.limit_wait(now).is_zero() {
+                continue;
+            }
             let expected = forecast::expected_latency(server, profile.median_ms, now);
             let jitter = 1.0 + JITTER * rng.random::<f64>();
             let cost = (expected + forecast::penalty(server, profile.retry_reserve)).as_secs_f64()
@@ -241,7 +245,8 @@
         let delays = healthy.map(|server| {
             let time_at_server =
                 forecast::expected_latency(server, median_ms, now) - server.round_trip();
-            time_at_server.saturating_sub(Duration::from_secs_f64(median_ms / 1_000.0))
+            let delay = time_at_server.saturating_sub(Duration::from_secs_f64(median_ms / 1_000.0));
+            delay.max(server.limit_wait(now))
         });
         delays.min()
     }
@@ -286,6 +291,19 @@
         }
     }
 
+    /// Records the limit that a server names for all hosts together, and returns
+    /// whether it began or ended. `share` returns this host's share of a limit.
+    pub fn on_limit(
+        &mut self,
+        key: ReplicaKey,
+        limit_per_s: Option<f64>,
+        share: impl FnOnce(f64) -> LimitShare,
+        now: Instant,
+    ) -> bool {
+        let server = self.servers.get_mut(&key);
+        server.is_some_and(|server| server.on_limit(limit_per_s, share, now))
+    }
+
     /// Records the load that a server reports about itself.
     pub fn on_load(&mut self, key: ReplicaKey, load: ReportedLoad, now: Instant) {
         if let Some(server) = self.servers.get_mut(&key) {
--- a/crates/connection/replica/src/distance.rs
+++ b/crates/connection/replica/src/distance.rs
@@ -44,6 +44,12 @@
 }
 
 impl Locality {
+    /// Returns whether two zones are in the same region.
+    pub fn is_same_region(&self, one: &str, other: &str) -> bool {
+        let region = |zone| self.regions.get(zone);
+        one == other || (region(one).is_some() && region(one) == region(other))
+    }
+
     /// Returns the distance between this host and `zone`.
     pub fn distance(&self, zone: &str) -> Distance {
         if zone == self.zone {
--- a/crates/connection/replica/src/lib.rs
+++ b/crates/connection/replica/src/lib.rs
@@ -10,6 +10,7 @@
 //! The crate performs no I/O. Events and the current time are passed in, and
 //! decisions are returned.
 
+mod call_rate;
 mod directory;
 mod distance;
 mod entry;
@@ -18,6 +19,7 @@
 mod server;
 
 pub use crate::{
+    call_rate::LimitShare,
     directory::{CallProfile, EntryChange, Pick, ServerDirectory},
     distance::{Distance, Locality},
     entry::{ReplicaKey, ServerEntry, ServerId, ServerState},
--- a/crates/connection/replica/src/server.rs
+++ b/crates/connection/replica/src/server.rs
@@ -1,7 +1,7 @@
 //! State of one incarnation of a server, as observed from the calls to it.
 
 use {
-    crate::{Distance, ServerEntry},
+    crate::{call_rate::CallRate, Distance, LimitShare, ServerEntry},
     link::{BackOff, Evidence, Refusal},
     std::time::{Duration, Instant},
 };
@@ -73,6 +73,8 @@
     /// assumed.
     foreign_load: Option<(f64, Instant)>,
     in_flight: Vec<InFlightCall>,
+    /// Rate of this host's calls, while the server limits its callers.
+    call_rate: Option<CallRate>,
     /// Whether discovery lists the server.
     pub(crate) is_listed: bool,
     /// When the server began to leave: discovery listed it as draining or no
@@ -93,6 +95,7 @@
             warmup_until: now + entry.warmup_left,
             foreign_load: None,
             in_flight: Vec::new(),
+            call_rate: None,
             is_listed: true,
             leaving_since: None,
             entry,
@@ -110,6 +113,9 @@
 
     /// Records the start of a call.
     pub(crate) fn on_call_started(&mut self, id: u64, expected: Duration, now: Instant) {
+        if let Some(call_rate) = &mut self.call_rate {
+            call_rate.on_call(now);
+        }
         self.in_flight.push(InFlightCall {
             id,
             started_at: now,
@@ -181,6 +187,31 @@
         self.latency_ratio_at = now;
     }
 
+    /// Records the limit that the server names for all hosts together, and returns
+    /// whether it began or ended.
+    pub(crate) fn on_limit(
+        &mut self,
+        limit_per_s: Option<f64>,
+        share: impl FnOnce(f64) -> LimitShare,
+        now: Instant,
+    ) -> bool {
+        let was_limited = self.call_rate.is_some();
+        match (limit_per_s, &mut self.call_rate) {
+            (None, call_rate) => *call_rate = None,
+            (Some(limit), Some(call_rate)) => call_rate.update(limit, share(limit), now),
+            (Some(limit), call_rate) => {
+                *call_rate = Some(CallRate::new(limit, share(limit), now));
+            }
+        }
+        was_limited != limit_per_s.is_some()
+    }
+
+    /// Returns the time until the server's limit admits another call of this host.
+    pub(crate) fn limit_wait(&self, now: Instant) -> Duration {
+        let call_rate = self.call_rate.as_ref();
+        call_rate.map_or(Duration::ZERO, |call_rate| call_rate.wait(now))
+    }
+
     /// Records the load that the server reports.
     pub(crate) fn on_load(&mut self, load: ReportedLoad, now: Instant) {
         self.on_queue(load.running + load.waiting, now);
--- a/crates/process/gateway/src/adapter.rs
+++ b/crates/process/gateway/src/adapter.rs
@@ -66,6 +66,8 @@
     pub is_not_executed: bool,
     /// Load that the server reports.
     pub load: Option<ReportedLoad>,
+    /// Requests a second that the server takes from all hosts together.
+    pub limit_per_s: Option<f64>,
     /// Time after which the server closes an idle connection.
     pub idle_timeout: Option<Duration>,
 }
--- a/crates/process/gateway/src/call.rs
+++ b/crates/process/gateway/src/call.rs
@@ -114,7 +114,10 @@
                 handle_failure(&shared, &outgoing, &call, server, failed);
             }
             // The receiver is gone if the request has ended meanwhile.
-            let _ = result_sender.send((vec![call.attempt], result.map(PartReply::Direct)));
+            let _ = result_sender.send((
+                vec![call.attempt],
+                result.map(|reply| PartReply::Direct(Box::new(reply))),
+            ));
         }
         None => {
             if started_at.elapsed() >= LINGER {
--- a/crates/process/gateway/src/exchange.rs
+++ b/crates/process/gateway/src/exchange.rs
@@ -301,6 +301,10 @@
 }
 
 fn record_server_state<A: Adapter>(shared: &Shared<A>, key: ReplicaKey, reply: &Reply) {
+    // Without either, another server or a device on the way may have answered.
+    if reply.metadata.proof.is_some() || reply.metadata.is_not_executed {
+        shared.on_server_limit(key, reply.metadata.limit_per_s);
+    }
     if let Some(load) = reply.metadata.load {
         let mut servers = shared.servers.borrow_mut();
         servers.on_load(key, load, Instant::now());
--- a/crates/process/gateway/src/relay.rs
+++ b/crates/process/gateway/src/relay.rs
@@ -24,7 +24,7 @@
     link::connection_share,
     plan::Reason,
     record::{HostId, ZoneId},
-    replica::Distance,
+    replica::{Distance, LimitShare, ReplicaKey, ServerEntry},
     routing::{Route, ServiceName},
     scatter::{Call, Failure},
     std::{
@@ -89,18 +89,23 @@
         own: &Member,
         now: Instant,
     ) -> Option<RelayKey> {
-        let set = self.by_zone.get(zone)?;
-        let key = (zone.clone(), service.clone());
-        let order = self.order_by_service.entry(key).or_insert_with(|| {
-            let order = relay_set(service, set, set.len());
-            order.into_iter().cloned().collect()
-        });
+        let order = self.order_for_service(zone, service).to_vec();
         let selector = &self.selector;
         let relay = order
-            .iter()
+            .into_iter()
             .find(|member| !selector.has_failed(member, now));
-        let relay = relay?.clone();
-        self.usable_key(relay, own, now)
+        self.usable_key(relay?, own, now)
+    }
+
+    /// Returns the relays in `zone` in the order in which all hosts use them for
+    /// `service`.
+    fn order_for_service(&mut self, zone: &ZoneId, service: &ServiceName) -> &[Member] {
+        let set = self.by_zone.get(zone).map_or(&[][..], Vec::as_slice);
+        let key = (zone.clone(), service.clone());
+        self.order_by_service.entry(key).or_insert_with(|| {
+            let order = relay_set(service, set, set.len());
+            order.into_iter().cloned().collect()
+        })
     }
 
     /// Returns the key of a relay, or `None` if it is this host or failed recently.
@@ -190,6 +195,56 @@
         }
     }
 
+    /// Records the limit that a server names for all hosts together.
+    pub(crate) fn on_server_limit(&self, server: ReplicaKey, limit_per_s: Option<f64>) {
+        let entry = self.servers.borrow().entry(server).cloned();
+        let Some(entry) = entry else {
+            return;
+        };
+        let share = |limit_per_s| self.limit_share(&entry, limit_per_s);
+        let mut servers = self.servers.borrow_mut();
+        let has_changed = servers.on_limit(server, limit_per_s, share, Instant::now());
+        if has_changed {
+            let id = &entry.id;
+            match limit_per_s {
+                Some(limit) => {
+                    log::info!(target: "upstream", "Server {id} takes {limit} requests a second from all hosts.");
+                }
+                None => log::info!(target: "upstream", "Server {id} names no limit any longer."),
+            }
+        }
+    }
+
+    /// Returns this host's share of the limit of a server, which the hosts of its
+    /// region call themselves or through the relay of its service.
+    fn limit_share(&self, server: &ServerEntry, limit_per_s: f64) -> LimitShare {
+        let own = &self.settings.member;
+        let table = self.table();
+        let connection_limit =
+            table.map_or(u32::MAX, |table| table.connection_limit(&server.service));
+        let outsiders = |senders| {
+            let outsiders = self.hosts.get().saturating_sub(senders);
+            LimitShare::of_outsider(outsiders)
+        };
+        if !self.can_connect_directly(connection_limit) {
+            let mut relays = self.relays.borrow_mut();
+            let order = relays.order_for_service(&server.zone, &server.service);
+            let rank = order.iter().position(|relay| relay.id == own.id);
+            return rank.map_or_else(|| outsiders(order.len()), LimitShare::of_relay);
+        }
+        let members = self.members.borrow();
+        let hosts = members.listed().map(|host| &host.member);
+        let locality = &self.settings.locality;
+        let in_region = hosts.filter(|host| locality.is_same_region(&host.zone, &server.zone));
+        let in_region: Vec<Member> = in_region.cloned().collect();
+        let senders = relay_set(&server.id, &in_region, LimitShare::max_senders(limit_per_s));
+        if senders.iter().any(|sender| sender.id == own.id) {
+            LimitShare::of_sender(senders.len())
+        } else {
+            outsiders(senders.len())
+        }
+    }
+
     /// Chooses an available relay in `zone`, or none if this host should call the servers itself.
     pub(crate) fn choose_relay(
         &self,
--- a/crates/process/gateway/src/relay_server.rs
+++ b/crates/process/gateway/src/relay_server.rs
@@ -211,9 +211,10 @@
         let mut proofs = Vec::with_capacity(replies.len());
         let mut bodies = Vec::with_capacity(replies.len());
         for merged in replies {
-            let PartReply::Direct(Reply { metadata, body, .. }) = merged.reply else {
+            let PartReply::Direct(reply) = merged.reply else {
                 continue;
             };
+            let Reply { metadata, body, .. } = *reply;
             if let (Some(proof), Some(index)) = (metadata.proof, merged.part_indexes.first()) {
                 proofs.push((self.positions[*index], proof.as_bytes().to_vec()));
                 bodies.push(body);
--- a/crates/process/gateway/src/response.rs
+++ b/crates/process/gateway/src/response.rs
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum PartReply {
     /// The reply of a server.
-    Direct(Reply),
+    Direct(Box<Reply>),
     /// The replies of several servers, merged by a relay.
     Relayed {
         proofs: Vec<HeaderValue>,
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -278,7 +278,7 @@
         let error = response::shortfall_error(&outcome, RETRY_AFTER);
         let merged = outcome.replies.into_iter().next();
         match merged.map(|merged| merged.reply) {
-            Some(PartReply::Direct(reply)) => Ok(response::forwarded::<A>(reply)),
+            Some(PartReply::Direct(reply)) => Ok(response::forwarded::<A>(*reply)),
             _ => Err(error),
         }
     }
