Answer requests that outlast a planned stop

A caller whose request was still running at the end of a planned stop found its connection closed without an answer, also if the request may run only once and had come late in the stop (LOST). Reported by operators of a similar system.

Cause: at the end of the longest drain the gateway dropped the connections with their requests; only the other shell answered them.

Change: a request that is still being handled when the longest drain is over gets 502, since it may have run, before the connections are closed.

Evidence: the new test failed before ('connection closed before message completed' for a request before the stop and two in it), and passes.

--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -67,7 +67,10 @@
         .log_id()
         .to_owned();
     let mut summary = RequestSummary::default();
-    let result = run(&shared, request, started_at, &mut summary).await;
+    let result = select! {
+        result = run(&shared, request, started_at, &mut summary) => result,
+        error = shared.life.wait_for_abort() => Err(error),
+    };
     summary.outcome = match &result {
         Ok(_) if summary.missing > 0 => "partial",
         Ok(_) => "ok",
