Bear entries of servers and reported loads at the limits of numbers

Callers of a server whose entry names a capacity of 2^32-1 got 504 at their deadline when the server shed a request. Reported by operators of a similar system as an odd entry that another writer left.

Cause: the assumed queue of a shedding server, its capacity times five, and the sum of a reported load overflowed. With overflow checks the task of the call ended; in a release build the queue wrapped to a small number.

Change: both saturate.

--- a/crates/connection/replica/src/server.rs
+++ b/crates/connection/replica/src/server.rs
@@ -142,7 +142,7 @@
             }
             Evidence::Refused(Refusal::Shed) => {
                 self.failure_rate += (1.0 - self.failure_rate) * FAILURE_WEIGHT;
-                let queue = self.entry.slots * (1 + SHED_QUEUE_PER_SLOT);
+                let queue = self.entry.slots.saturating_mul(1 + SHED_QUEUE_PER_SLOT);
                 self.on_queue(queue, now);
                 None
             }
@@ -214,7 +214,7 @@
 
     /// Records the load that the server reports.
     pub(crate) fn on_load(&mut self, load: ReportedLoad, now: Instant) {
-        self.on_queue(load.running + load.waiting, now);
+        self.on_queue(load.running.saturating_add(load.waiting), now);
     }
 
     /// Records the number of requests of all callers that run or wait at the server.
