Obey servers that say they leave or name a time to return

A server that has said that it leaves is called for 1.5 s at most, whatever the store lists, also after its entry was removed and written again; one that has named a time gets no call within it, and calls that waited for a connection meanwhile end as not run. A caller whose servers are all closed is told when the first one takes requests again.

--- a/crates/connection/replica/src/directory.rs
+++ b/crates/connection/replica/src/directory.rs
@@ -18,6 +18,8 @@
 /// server. Discovery lags by one second, and the platform's shortest drain
 /// period is 3 s.
 const LEAVING_GRACE: Duration = Duration::from_millis(1_500);
+/// Time for which it is remembered that a removed server had said that it leaves.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(600);
 /// Largest relative increase of a cost by random jitter, which keeps hosts with
 /// the same information from all picking the same server.
 const JITTER: f64 = 0.1;
@@ -64,6 +66,8 @@
     by_id: HashMap<ServerId, ReplicaKey>,
     by_service: HashMap<ServiceName, Vec<ReplicaKey>>,
     last_key: ReplicaKey,
+    /// Removed incarnations that had said that they leave, and when they had.
+    departed: HashMap<(ServerId, Option<u64>), Instant>,
 }
 
 impl ServerDirectory {
@@ -95,6 +99,11 @@
         if server.entry.state == ServerState::Draining {
             server.leaving_since = Some(now);
         }
+        // Discovery may list a server again that has said that it leaves.
+        let incarnation = (server.entry.id.clone(), server.entry.started_at_ms);
+        if let Some(at) = self.departed.get(&incarnation) {
+            server.on_leaving(*at);
+        }
         self.servers.insert(key, server);
         EntryChange::New
     }
@@ -127,6 +136,8 @@
     /// Removes unlisted servers that are no longer called even as a last resort,
     /// and returns their keys.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<ReplicaKey> {
+        self.departed
+            .retain(|_, at| now.saturating_duration_since(*at) < DEPARTED_RETENTION);
         let expired = self.servers.iter().filter(|(_, server)| {
             let since = server.leaving_since;
             let is_expired = |since| now.saturating_duration_since(since) >= LEAVING_GRACE;
@@ -148,6 +159,13 @@
         let Some(server) = self.servers.remove(&key) else {
             return;
         };
+        if let Some(at) = server
+            .leaving_since
+            .filter(|_| server.has_announced_leaving)
+        {
+            let incarnation = (server.entry.id.clone(), server.entry.started_at_ms);
+            self.departed.insert(incarnation, at);
+        }
         if self.by_id.get(&server.entry.id) == Some(&key) {
             self.by_id.remove(&server.entry.id);
         }
@@ -191,7 +209,7 @@
     ///
     /// Servers in `tried` are excluded. Ejected servers are picked only if no
     /// healthy one is left, and servers that left recently only if there is no
-    /// ejected one either. Servers whose limit admits no further call now are never
+    /// ejected one either. Servers that take no call of this host now are never
     /// picked.
     pub fn pick(
         &self,
@@ -208,7 +226,7 @@
             let Some(tier) = tier(server, now) else {
                 continue;
             };
-            if !server.limit_wait(now).is_zero() {
+            if !server.closed_for(now).is_zero() {
                 continue;
             }
             let expected = forecast::expected_latency(server, profile.median_ms, now);
@@ -246,7 +264,7 @@
             let time_at_server =
                 forecast::expected_latency(server, median_ms, now) - server.round_trip();
             let delay = time_at_server.saturating_sub(Duration::from_secs_f64(median_ms / 1_000.0));
-            delay.max(server.limit_wait(now))
+            delay.max(server.closed_for(now))
         });
         delays.min()
     }
@@ -304,6 +322,34 @@
         server.is_some_and(|server| server.on_limit(limit_per_s, share, now))
     }
 
+    /// Records that a server has said that it leaves, and returns whether that is new.
+    pub fn on_leaving(&mut self, key: ReplicaKey, now: Instant) -> bool {
+        let server = self.servers.get_mut(&key);
+        server.is_some_and(|server| server.on_leaving(now))
+    }
+
+    /// Records that a server wants no calls of this host for `time`.
+    pub fn on_retry_after(&mut self, key: ReplicaKey, time: Duration, now: Instant) {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.on_retry_after(time, now);
+        }
+    }
+
+    /// Returns whether a server wants no calls of this host now.
+    pub fn is_quiet(&self, key: ReplicaKey, now: Instant) -> bool {
+        let server = self.servers.get(&key);
+        server.is_some_and(|server| !server.quiet_for(now).is_zero())
+    }
+
+    /// Returns the time until the first server of `service` takes a call of this
+    /// host, or `None` if the service has no healthy server.
+    pub fn min_closed_for(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
+        let keys = self.by_service.get(service)?;
+        let servers = keys.iter().map(|key| &self.servers[key]);
+        let healthy = servers.filter(|server| tier(server, now) == Some(0));
+        healthy.map(|server| server.closed_for(now)).min()
+    }
+
     /// Records the load that a server reports about itself.
     pub fn on_load(&mut self, key: ReplicaKey, load: ReportedLoad, now: Instant) {
         if let Some(server) = self.servers.get_mut(&key) {
@@ -329,7 +375,8 @@
             known.leaving_since.get_or_insert(now);
         }
         // The entry had expired during an outage of the store; the server never left.
-        ServerState::Ready => known.leaving_since = None,
+        ServerState::Ready if !known.has_announced_leaving => known.leaving_since = None,
+        ServerState::Ready => {}
     }
     known.entry = entry;
     known.is_listed = true;
--- a/crates/connection/replica/src/server.rs
+++ b/crates/connection/replica/src/server.rs
@@ -34,6 +34,8 @@
 /// Waiting requests assumed at a server that sheds without reporting its load,
 /// in multiples of its slots.
 const SHED_QUEUE_PER_SLOT: u32 = 4;
+/// Longest time for which a server that has refused a call is not called.
+const MAX_QUIET_TIME: Duration = Duration::from_secs(600);
 /// A call is overdue once it takes longer than twice its expected latency and
 /// this time.
 const OVERDUE_SLACK: Duration = Duration::from_millis(15);
@@ -73,6 +75,10 @@
     /// assumed.
     foreign_load: Option<(f64, Instant)>,
     in_flight: Vec<InFlightCall>,
+    /// Whether the server itself has said that it leaves, which discovery does not undo.
+    pub(crate) has_announced_leaving: bool,
+    /// Time until which the server wants no calls of this host.
+    quiet_until: Option<Instant>,
     /// Rate of this host's calls, while the server limits its callers.
     call_rate: Option<CallRate>,
     /// Whether discovery lists the server.
@@ -95,6 +101,8 @@
             warmup_until: now + entry.warmup_left,
             foreign_load: None,
             in_flight: Vec::new(),
+            has_announced_leaving: false,
+            quiet_until: None,
             call_rate: None,
             is_listed: true,
             leaving_since: None,
@@ -206,10 +214,30 @@
         was_limited != limit_per_s.is_some()
     }
 
-    /// Returns the time until the server's limit admits another call of this host.
-    pub(crate) fn limit_wait(&self, now: Instant) -> Duration {
+    /// Records that the server has said that it leaves, and returns whether that is new.
+    pub(crate) fn on_leaving(&mut self, now: Instant) -> bool {
+        self.leaving_since.get_or_insert(now);
+        !std::mem::replace(&mut self.has_announced_leaving, true)
+    }
+
+    /// Records that the server wants no calls of this host for `time`.
+    pub(crate) fn on_retry_after(&mut self, time: Duration, now: Instant) {
+        let until = now + time.min(MAX_QUIET_TIME);
+        self.quiet_until = self.quiet_until.max(Some(until));
+    }
+
+    /// Returns how much longer the server wants no calls of this host.
+    pub(crate) fn quiet_for(&self, now: Instant) -> Duration {
+        self.quiet_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Returns the time until the server takes another call of this host: it wants
+    /// none now, or its limit admits none.
+    pub(crate) fn closed_for(&self, now: Instant) -> Duration {
         let call_rate = self.call_rate.as_ref();
-        call_rate.map_or(Duration::ZERO, |call_rate| call_rate.wait(now))
+        let limit_wait = call_rate.map_or(Duration::ZERO, |call_rate| call_rate.wait(now));
+        limit_wait.max(self.quiet_for(now))
     }
 
     /// Records the load that the server reports.
--- a/crates/process/gateway/src/adapter.rs
+++ b/crates/process/gateway/src/adapter.rs
@@ -68,6 +68,11 @@
     pub load: Option<ReportedLoad>,
     /// Requests a second that the server takes from all hosts together.
     pub limit_per_s: Option<f64>,
+    /// Whether the server says that it leaves.
+    pub is_leaving: bool,
+    /// Time for which the server wants no requests of this host, if it has refused
+    /// this one.
+    pub retry_after: Option<Duration>,
     /// Time after which the server closes an idle connection.
     pub idle_timeout: Option<Duration>,
 }
--- a/crates/process/gateway/src/exchange.rs
+++ b/crates/process/gateway/src/exchange.rs
@@ -106,6 +106,11 @@
             .entry(key)
             .map(|entry| entry.id.clone());
         let loaned = LoanedConnection::new(shared, key);
+        // The server may have refused another call while this one waited.
+        if shared.servers.borrow().is_quiet(key, Instant::now()) {
+            loaned.release(lease.connection);
+            return no_connection(AcquireError::Busy);
+        }
         let Some(id) = entry_id else {
             return no_connection(AcquireError::Unreachable);
         };
@@ -303,7 +308,7 @@
 fn record_server_state<A: Adapter>(shared: &Shared<A>, key: ReplicaKey, reply: &Reply) {
     // Without either, another server or a device on the way may have answered.
     if reply.metadata.proof.is_some() || reply.metadata.is_not_executed {
-        shared.on_server_limit(key, reply.metadata.limit_per_s);
+        record_server_wishes(shared, key, reply);
     }
     if let Some(load) = reply.metadata.load {
         let mut servers = shared.servers.borrow_mut();
@@ -317,6 +322,20 @@
     }
 }
 
+/// Records what the server says about the requests that it takes.
+fn record_server_wishes<A: Adapter>(shared: &Shared<A>, key: ReplicaKey, reply: &Reply) {
+    let now = Instant::now();
+    shared.on_server_limit(key, reply.metadata.limit_per_s);
+    let mut servers = shared.servers.borrow_mut();
+    if let Some(time) = reply.metadata.retry_after {
+        servers.on_retry_after(key, time, now);
+    }
+    if reply.metadata.is_leaving && servers.on_leaving(key, now) {
+        let id = servers.entry(key).map_or("-", |entry| &*entry.id);
+        log::info!(target: "upstream", "Server {id} says that it leaves.");
+    }
+}
+
 fn requests_close(head: &http::response::Parts) -> bool {
     let values = head.headers.get_all(header::CONNECTION).iter();
     let mut tokens = values.filter_map(|value| value.to_str().ok());
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -278,7 +278,11 @@
             // The server's own error response is more specific than one from this host.
             return Ok(response::forwarded::<A>(reply));
         }
-        let error = response::shortfall_error(&outcome, RETRY_AFTER);
+        let servers = self.shared.servers.borrow();
+        let closed_for = servers.min_closed_for(service, Instant::now());
+        drop(servers);
+        let retry_after = RETRY_AFTER.max(closed_for.unwrap_or_default());
+        let error = response::shortfall_error(&outcome, retry_after);
         let merged = outcome.replies.into_iter().next();
         match merged.map(|merged| merged.reply) {
             Some(PartReply::Direct(reply)) => Ok(response::forwarded::<A>(*reply)),
