--- a/crates/connection/replica/src/directory.rs
+++ b/crates/connection/replica/src/directory.rs
@@ -309,19 +309,25 @@
         }
     }
 
-    /// Records the limit that a server names for all hosts together, and returns
-    /// whether it began or ended. `share` returns this host's share of a limit.
+    /// Records the limit that a server names for all hosts together and this host's
+    /// share of it, and returns whether the limit is new.
     pub fn on_limit(
         &mut self,
         key: ReplicaKey,
-        limit_per_s: Option<f64>,
-        share: impl FnOnce(f64) -> LimitShare,
+        limit_per_s: f64,
+        share: LimitShare,
         now: Instant,
     ) -> bool {
         let server = self.servers.get_mut(&key);
         server.is_some_and(|server| server.on_limit(limit_per_s, share, now))
     }
 
+    /// Records that a server names no limit, and returns whether it did before.
+    pub fn on_no_limit(&mut self, key: ReplicaKey) -> bool {
+        let server = self.servers.get_mut(&key);
+        server.is_some_and(Server::on_no_limit)
+    }
+
     /// Records that a server has said that it leaves, and returns whether that is new.
     pub fn on_leaving(&mut self, key: ReplicaKey, now: Instant) -> bool {
         let server = self.servers.get_mut(&key);
--- a/crates/connection/replica/src/server.rs
+++ b/crates/connection/replica/src/server.rs
@@ -195,23 +195,20 @@
         self.latency_ratio_at = now;
     }
 
-    /// Records the limit that the server names for all hosts together, and returns
-    /// whether it began or ended.
-    pub(crate) fn on_limit(
-        &mut self,
-        limit_per_s: Option<f64>,
-        share: impl FnOnce(f64) -> LimitShare,
-        now: Instant,
-    ) -> bool {
-        let was_limited = self.call_rate.is_some();
-        match (limit_per_s, &mut self.call_rate) {
-            (None, call_rate) => *call_rate = None,
-            (Some(limit), Some(call_rate)) => call_rate.update(limit, share(limit), now),
-            (Some(limit), call_rate) => {
-                *call_rate = Some(CallRate::new(limit, share(limit), now));
-            }
+    /// Records the limit that the server names for all hosts together and this host's
+    /// share of it, and returns whether the limit is new.
+    pub(crate) fn on_limit(&mut self, limit_per_s: f64, share: LimitShare, now: Instant) -> bool {
+        if let Some(call_rate) = &mut self.call_rate {
+            call_rate.update(limit_per_s, share, now);
+            return false;
         }
-        was_limited != limit_per_s.is_some()
+        self.call_rate = Some(CallRate::new(limit_per_s, share, now));
+        true
+    }
+
+    /// Records that the server names no limit, and returns whether it did before.
+    pub(crate) fn on_no_limit(&mut self) -> bool {
+        self.call_rate.take().is_some()
     }
 
     /// Records that the server has said that it leaves, and returns whether that is new.
--- a/crates/connection/replica/tests/call_rate.rs
+++ b/crates/connection/replica/tests/call_rate.rs
@@ -53,7 +53,7 @@
                 let pick = directory.pick(&"shard".into(), &[], PROFILE, now, &mut rng);
                 let Some(pick) = pick else { break };
                 directory.on_call_started(pick.key, step as u64, pick.expected, now);
-                directory.on_limit(pick.key, Some(limit_per_s), |_| share, now);
+                directory.on_limit(pick.key, limit_per_s, share, now);
                 started += 1;
             }
         }
@@ -85,9 +85,9 @@
     let mut directory = directory(now);
     let service = "shard".into();
     let key = directory.ready(&service)[0];
-    let share = |_| LimitShare::of_sender(1);
-    assert!(directory.on_limit(key, Some(2.0), share, now));
-    assert!(!directory.on_limit(key, Some(2.0), share, now));
+    let share = LimitShare::of_sender(1);
+    assert!(directory.on_limit(key, 2.0, share, now));
+    assert!(!directory.on_limit(key, 2.0, share, now));
     let mut may_call = |directory: &ServerDirectory, at| {
         let pick = directory.pick(&service, &[], PROFILE, at, &mut rng);
         pick.is_some()
@@ -95,6 +95,7 @@
     assert!(!may_call(&directory, now));
     assert!(directory.min_queue_delay(&"shard".into(), 10.0, now) > Some(Duration::ZERO));
     assert!(may_call(&directory, now + Duration::from_secs(1)));
-    assert!(directory.on_limit(key, None, share, now));
+    assert!(directory.on_no_limit(key));
+    assert!(!directory.on_no_limit(key));
     assert!(may_call(&directory, now));
 }
--- a/crates/process/gateway/src/crashes.rs
+++ b/crates/process/gateway/src/crashes.rs
@@ -12,7 +12,6 @@
     fleet::Member,
     kind::{Error, Kind, Result},
     link::{owner_weight, Admission, Fingerprint},
-    log::warn,
     replica::ReplicaKey,
     serde::{Deserialize, Serialize},
     std::{
@@ -87,7 +86,7 @@
         let keys = shared.keys.clone();
         spawn_local(async move {
             if let Err(fault) = keys.end(lease).await {
-                warn!(target: "crash", "The hold of request {request:016x} could not be ended and will expire: {fault:?}.");
+                log::warn!(target: "crash", "The hold of request {request:016x} could not be ended and will expire: {fault:?}.");
             }
         });
     }
@@ -146,7 +145,7 @@
                 }
                 return;
             }
-            Err(error) => warn!(target: "crash", "Host {} took no report: {error}.", owner.id),
+            Err(error) => log::warn!(target: "crash", "Host {} took no report: {error}.", owner.id),
         }
     }
     on_reported(&shared, request, &server);
@@ -164,7 +163,7 @@
     if let Some(hold) = crash_ledger.on_crash(request, server, now) {
         crash_ledger.hold(request, hold, now);
         let hold_s = hold.as_secs();
-        warn!(target: "crash", "Request {request:016x} has ended its servers, {server} last, and is held back for {hold_s} s.");
+        log::warn!(target: "crash", "Request {request:016x} has ended its servers, {server} last, and is held back for {hold_s} s.");
         spawn_local(publish(Rc::clone(shared), request, hold));
     }
     crash_ledger.held_for(request, now)
@@ -176,7 +175,7 @@
         match write_hold(&shared, request, hold).await {
             Ok(()) => return,
             Err(fault) => {
-                warn!(target: "crash", "The hold of request {request:016x} is not in the store yet: {fault:?}.");
+                log::warn!(target: "crash", "The hold of request {request:016x} is not in the store yet: {fault:?}.");
             }
         }
         sleep(WRITE_PAUSE).await;
--- a/crates/process/gateway/src/relay.rs
+++ b/crates/process/gateway/src/relay.rs
@@ -24,7 +24,7 @@
     link::connection_share,
     plan::Reason,
     record::{HostId, ZoneId},
-    replica::{Distance, LimitShare, ReplicaKey, ServerEntry},
+    replica::{Distance, LimitShare, ReplicaKey, ServerEntry, ServerId},
     routing::{Route, ServiceName},
     scatter::{Call, Failure},
     std::{
@@ -195,26 +195,31 @@
         }
     }
 
-    /// Records the limit that a server names for all hosts together.
+    /// Records the limit that a server names for all hosts together, or none.
     pub(crate) fn on_server_limit(&self, server: ReplicaKey, limit_per_s: Option<f64>) {
-        let entry = self.servers.borrow().entry(server).cloned();
-        let Some(entry) = entry else {
+        let Some(limit_per_s) = limit_per_s else {
+            if self.servers.borrow_mut().on_no_limit(server) {
+                log::info!(target: "upstream", "Server {} names no limit any longer.", self.server_id(server));
+            }
+            return;
+        };
+        let Some(entry) = self.servers.borrow().entry(server).cloned() else {
             return;
         };
-        let share = |limit_per_s| self.limit_share(&entry, limit_per_s);
+        let share = self.limit_share(&entry, limit_per_s);
         let mut servers = self.servers.borrow_mut();
-        let has_changed = servers.on_limit(server, limit_per_s, share, Instant::now());
-        if has_changed {
-            let id = &entry.id;
-            match limit_per_s {
-                Some(limit) => {
-                    log::info!(target: "upstream", "Server {id} takes {limit} requests a second from all hosts.");
-                }
-                None => log::info!(target: "upstream", "Server {id} names no limit any longer."),
-            }
+        if servers.on_limit(server, limit_per_s, share, Instant::now()) {
+            log::info!(target: "upstream", "Server {} takes {limit_per_s} requests a second from all hosts.", entry.id);
         }
     }
 
+    /// Returns the id of a server for log lines, or `-` if it is not known.
+    fn server_id(&self, server: ReplicaKey) -> ServerId {
+        let servers = self.servers.borrow();
+        let entry = servers.entry(server);
+        entry.map_or_else(|| "-".into(), |entry| entry.id.clone())
+    }
+
     /// Returns this host's share of the limit of a server, which the hosts of its
     /// region call themselves or through the relay of its service.
     fn limit_share(&self, server: &ServerEntry, limit_per_s: f64) -> LimitShare {
