Ask relays about limited servers that this host may not call

A host far from a limited server refused queries for seconds that its relays could have served, or left the shard out, once it had called that server itself: its own small share counted for calls of others as well. It kept that share until the server answered it again, and if no host was listed in the server's region, all callers together got a twentieth of the limit.

Change: the choice of a relay and the forecast of an entry leave out what servers take from this host; a limit that is not repeated for 30 s is forgotten; without hosts in the server's region all hosts share the limit.

--- a/crates/connection/replica/src/call_rate.rs
+++ b/crates/connection/replica/src/call_rate.rs
@@ -16,6 +16,8 @@
 /// Time for which a host that makes no calls saves up its rate, unless that is less
 /// than one call.
 const MAX_SAVED: Duration = Duration::from_millis(300);
+/// Time for which a limit holds without another answer of the server.
+const LIMIT_RETENTION: Duration = Duration::from_secs(30);
 /// Smallest limit, so that a server which names none at all is asked again.
 const MIN_LIMIT_PER_S: f64 = 0.1;
 /// Hosts among which a limit is divided, for each request a second of it. With more,
@@ -63,6 +65,8 @@
     rate_per_s: f64,
     tokens: f64,
     updated_at: Instant,
+    /// When the server named its limit last.
+    named_at: Instant,
 }
 
 impl CallRate {
@@ -72,6 +76,7 @@
             rate_per_s: share.rate_per_s(limit_per_s),
             tokens: 0.0,
             updated_at: now,
+            named_at: now,
         }
     }
 
@@ -79,6 +84,7 @@
     pub(crate) fn update(&mut self, limit_per_s: f64, share: LimitShare, now: Instant) {
         self.tokens = self.tokens_at(now);
         self.updated_at = now;
+        self.named_at = now;
         self.rate_per_s = share.rate_per_s(limit_per_s);
     }
 
@@ -88,6 +94,12 @@
         self.updated_at = now;
     }
 
+    /// Returns whether the server has not named its limit for so long that it may
+    /// have ended.
+    pub(crate) fn is_expired(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.named_at) >= LIMIT_RETENTION
+    }
+
     /// Returns the time until the next call may be made.
     pub(crate) fn wait(&self, now: Instant) -> Duration {
         let missing = 1.0 - self.tokens_at(now);
--- a/crates/connection/replica/src/directory.rs
+++ b/crates/connection/replica/src/directory.rs
@@ -218,6 +218,31 @@
         profile: CallProfile,
         now: Instant,
         rng: &mut impl Rng,
+    ) -> Option<Pick> {
+        self.pick_if(service, tried, profile, now, rng, |server| {
+            server.closed_for(now).is_zero()
+        })
+    }
+
+    /// Picks a server as [`pick`](Self::pick) does, for a call that another host makes.
+    pub fn pick_for_relay(
+        &self,
+        service: &ServiceName,
+        profile: CallProfile,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Pick> {
+        self.pick_if(service, &[], profile, now, rng, |_| true)
+    }
+
+    fn pick_if(
+        &self,
+        service: &ServiceName,
+        tried: &[ReplicaKey],
+        profile: CallProfile,
+        now: Instant,
+        rng: &mut impl Rng,
+        is_open: impl Fn(&Server) -> bool,
     ) -> Option<Pick> {
         let keys = self.by_service.get(service)?;
         let mut best: Option<(u8, f64, Pick)> = None;
@@ -226,7 +251,7 @@
             let Some(tier) = tier(server, now) else {
                 continue;
             };
-            if !server.closed_for(now).is_zero() {
+            if !is_open(server) {
                 continue;
             }
             let expected = forecast::expected_latency(server, profile.median_ms, now);
@@ -250,12 +275,41 @@
     /// that of an idle server, or `None` if the service has no healthy server.
     ///
     /// Excludes the network round trip, so that the delay is comparable between
-    /// hosts.
+    /// hosts, and the time for which servers take no call of this host, since others
+    /// may call them for it.
     pub fn min_queue_delay(
         &self,
         service: &ServiceName,
         median_ms: f64,
         now: Instant,
+    ) -> Option<Duration> {
+        self.min_delay(service, median_ms, now, |_| Duration::ZERO)
+    }
+
+    /// Returns the delay of [`min_queue_delay`](Self::min_queue_delay) if this host
+    /// itself calls the servers within `reach`.
+    pub fn min_call_delay(
+        &self,
+        service: &ServiceName,
+        median_ms: f64,
+        reach: Distance,
+        now: Instant,
+    ) -> Option<Duration> {
+        self.min_delay(service, median_ms, now, |server| {
+            if server.distance <= reach {
+                server.closed_for(now)
+            } else {
+                Duration::ZERO
+            }
+        })
+    }
+
+    fn min_delay(
+        &self,
+        service: &ServiceName,
+        median_ms: f64,
+        now: Instant,
+        closed_for: impl Fn(&Server) -> Duration,
     ) -> Option<Duration> {
         let keys = self.by_service.get(service)?;
         let servers = keys.iter().map(|key| &self.servers[key]);
@@ -264,7 +318,7 @@
             let time_at_server =
                 forecast::expected_latency(server, median_ms, now) - server.round_trip();
             let delay = time_at_server.saturating_sub(Duration::from_secs_f64(median_ms / 1_000.0));
-            delay.max(server.closed_for(now))
+            delay.max(closed_for(server))
         });
         delays.min()
     }
--- a/crates/connection/replica/src/server.rs
+++ b/crates/connection/replica/src/server.rs
@@ -233,6 +233,7 @@
     /// none now, or its limit admits none.
     pub(crate) fn closed_for(&self, now: Instant) -> Duration {
         let call_rate = self.call_rate.as_ref();
+        let call_rate = call_rate.filter(|call_rate| !call_rate.is_expired(now));
         let limit_wait = call_rate.map_or(Duration::ZERO, |call_rate| call_rate.wait(now));
         limit_wait.max(self.quiet_for(now))
     }
--- a/crates/connection/replica/tests/call_rate.rs
+++ b/crates/connection/replica/tests/call_rate.rs
@@ -3,7 +3,9 @@
 
 use {
     rand::{rngs::StdRng, SeedableRng},
-    replica::{CallProfile, LimitShare, Locality, ServerDirectory, ServerEntry, ServerState},
+    replica::{
+        CallProfile, Distance, LimitShare, Locality, ServerDirectory, ServerEntry, ServerState,
+    },
     std::time::{Duration, Instant},
 };
 
@@ -93,7 +95,14 @@
         pick.is_some()
     };
     assert!(!may_call(&directory, now));
-    assert!(directory.min_queue_delay(&"shard".into(), 10.0, now) > Some(Duration::ZERO));
+    let shard = "shard".into();
+    let own_delay = directory.min_call_delay(&shard, 10.0, Distance::OtherRegion, now);
+    assert!(own_delay > Some(Duration::ZERO));
+    // Another host may call it.
+    let delay = directory.min_queue_delay(&shard, 10.0, now);
+    assert_eq!(delay, Some(Duration::ZERO));
+    let pick = directory.pick_for_relay(&shard, PROFILE, now, &mut StdRng::seed_from_u64(1));
+    assert_eq!(pick.map(|pick| pick.key), Some(key));
     assert!(may_call(&directory, now + Duration::from_secs(1)));
     assert!(directory.on_no_limit(key));
     assert!(!directory.on_no_limit(key));
--- a/crates/process/gateway/src/relay.rs
+++ b/crates/process/gateway/src/relay.rs
@@ -169,7 +169,7 @@
     }
 
     /// Returns whether every host may hold its own connections to servers that accept `limit`.
-    fn can_connect_directly(&self, limit: u32) -> bool {
+    pub(crate) fn can_connect_directly(&self, limit: u32) -> bool {
         let hosts = self.hosts.get();
         let limits = RelayLimits {
             record: None,
@@ -221,7 +221,8 @@
     }
 
     /// Returns this host's share of the limit of a server, which the hosts of its
-    /// region call themselves or through the relay of its service.
+    /// region call themselves or through the relay of its service. Without such hosts
+    /// all others call it.
     fn limit_share(&self, server: &ServerEntry, limit_per_s: f64) -> LimitShare {
         let own = &self.settings.member;
         let table = self.table();
@@ -234,15 +235,23 @@
         if !self.can_connect_directly(connection_limit) {
             let mut relays = self.relays.borrow_mut();
             let order = relays.order_for_service(&server.zone, &server.service);
-            let rank = order.iter().position(|relay| relay.id == own.id);
-            return rank.map_or_else(|| outsiders(order.len()), LimitShare::of_relay);
+            if !order.is_empty() {
+                let rank = order.iter().position(|relay| relay.id == own.id);
+                return rank.map_or_else(|| outsiders(order.len()), LimitShare::of_relay);
+            }
         }
         let members = self.members.borrow();
-        let hosts = members.listed().map(|host| &host.member);
         let locality = &self.settings.locality;
-        let in_region = hosts.filter(|host| locality.is_same_region(&host.zone, &server.zone));
-        let in_region: Vec<Member> = in_region.cloned().collect();
-        let senders = relay_set(&server.id, &in_region, LimitShare::max_senders(limit_per_s));
+        let hosts = members.listed().map(|host| &host.member);
+        let (in_region, elsewhere): (Vec<Member>, Vec<Member>) = hosts
+            .cloned()
+            .partition(|host| locality.is_same_region(&host.zone, &server.zone));
+        let callers = if in_region.is_empty() {
+            &elsewhere
+        } else {
+            &in_region
+        };
+        let senders = relay_set(&server.id, callers, LimitShare::max_senders(limit_per_s));
         if senders.iter().any(|sender| sender.id == own.id) {
             LimitShare::of_sender(senders.len())
         } else {
--- a/crates/process/gateway/src/relay_server.rs
+++ b/crates/process/gateway/src/relay_server.rs
@@ -18,6 +18,7 @@
     fleet::Phase,
     http::{HeaderName, HeaderValue, Method, Request, Uri},
     kind::{Error, Kind, Ran, Result},
+    replica::Distance,
     routing::{Route, ServiceName, Table, Target},
     scatter::{top_records, MergedReply, QueryPolicy},
     std::{
@@ -203,7 +204,7 @@
         let median_ms = shared.latency_medians.borrow().median_ms(&self.route.name);
         let servers = shared.servers.borrow();
         let delays = self.services.iter().map(|service| {
-            let delay = servers.min_queue_delay(service, median_ms, now);
+            let delay = servers.min_call_delay(service, median_ms, Distance::OtherRegion, now);
             let delay_ms = delay.map_or(u128::MAX, |delay| delay.as_millis());
             u16::try_from(delay_ms).unwrap_or(u16::MAX)
         });
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -20,7 +20,7 @@
     linger::TrackedBody,
     link::Admission,
     meter::RequestLabels,
-    replica::ReplicaKey,
+    replica::{Distance, ReplicaKey},
     routing::{Route, ServiceName, ShardSet, Table, Target},
     scatter::{Action, Call, Cause, Event, Outcome, Query, QueryPolicy},
     std::{
@@ -334,7 +334,13 @@
             set.min_share,
             self.route.target_latency,
             now,
-            |shard| servers.min_queue_delay(shard, median_ms, now),
+            |shard| {
+                if shared.can_connect_directly(self.table.connection_limit(shard)) {
+                    servers.min_call_delay(shard, median_ms, Distance::Region, now)
+                } else {
+                    servers.min_queue_delay(shard, median_ms, now)
+                }
+            },
         );
         let Some(refusal) = refusal else {
             return Ok(());
--- a/crates/process/gateway/src/server_selection.rs
+++ b/crates/process/gateway/src/server_selection.rs
@@ -118,10 +118,17 @@
                 .retry_reserve(service),
         };
         let servers = self.shared.servers.borrow();
-        let pick = servers.pick(service, &tried_servers, profile, now, &mut rand::rng())?;
+        let pick = servers.pick(service, &tried_servers, profile, now, &mut rand::rng());
+        let relayed_pick = match pick {
+            None if tried.is_empty() => {
+                servers.pick_for_relay(service, profile, now, &mut rand::rng())
+            }
+            pick => pick,
+        };
         drop(servers);
         if let RelayMode::First(expected) = self.relay_mode {
-            if let Some(relay) = self.relay_for(service, pick, tried, now) {
+            let relay = relayed_pick.and_then(|pick| self.relay_for(service, pick, tried, now));
+            if let Some(relay) = relay {
                 return Some(Candidate {
                     server: CallTarget::Relay(relay),
                     expected,
@@ -130,6 +137,7 @@
                 });
             }
         }
+        let pick = pick?;
         Some(Candidate {
             server: CallTarget::Server(pick.key),
             expected: pick.expected,
