review: hosts behind a cut-off reader use leaving servers too long

One host reads the store for the others. It is cut off from the store without a sign, then servers report draining. The other hosts, which reach the store, learn of it about 2 s later, and take the leaving servers for another 1.5 s for hedges, retries and as a last resort: up to 3.6 s after the ack, where drainMs is 3 s.

Code at fault: replica/src/directory.rs, LEAVING_GRACE counts from the moment at which a host learns of the draining; fleet/src/reader.rs, MAX_STALENESS_LIMIT, and gateway/src/store_sync.rs, MAX_CHANGES_WAIT, let that moment be up to 2.7 s late.

--- a/review/standin/lab.py
+++ b/review/standin/lab.py
@@ -19,6 +19,7 @@
 import time
 import tomllib
 from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
 
 REPO = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -108,12 +109,32 @@
         self.leases = {}  # id -> expiry
         self.ids = itertools.count(1000)
         self.changed = asyncio.Event()
+        self.addrs = {}  # number of a host -> address of the store for it
+        self.paths = {}  # number of a host -> whether its path to the store is open
+        self.polls = {}  # number of a host -> time of its last answered poll of servers/
 
     async def start(self, ip):
-        self.server = await asyncio.start_server(self.serve, ip, 0)
-        self.addr = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+        self.ip = ip
         self.expiry = asyncio.create_task(self.expire())
 
+    async def addr_for(self, number):
+        """Returns an address of the store of its own for a host, so that its path can be cut."""
+        if number not in self.addrs:
+            self.paths[number] = asyncio.Event()
+            self.paths[number].set()
+            server = await asyncio.start_server(lambda r, w: self.serve(number, r, w), self.ip, 0)
+            self.addrs[number] = "%s:%d" % server.sockets[0].getsockname()[:2]
+        return self.addrs[number]
+
+    def cut(self, number):
+        """Cuts a host off from the store: what is sent either way does not arrive."""
+        self.paths[number].clear()
+        self.record(f"host {number}: is cut off from the store, silently")
+
+    def heal(self, number):
+        self.paths[number].set()
+        self.record(f"host {number}: reaches the store again")
+
     async def expire(self):
         while True:
             await asyncio.sleep(0.05)
@@ -153,8 +174,7 @@
         value, revision, created, lease = self.items[key]
         return {"key": key, "value": value, "revision": revision, "created": created, "lease": lease}
 
-    async def serve(self, reader, writer):
-        from urllib.parse import parse_qs, urlsplit
+    async def serve(self, number, reader, writer):
         try:
             while True:
                 line, headers = parse_head(await reader.readuntil(b"\r\n\r\n"))
@@ -162,9 +182,15 @@
                 method, target, _ = line.split(" ")
                 parts = urlsplit(target)
                 query = {k: v[0] for k, v in parse_qs(parts.query).items()}
+                await self.paths[number].wait()
                 await asyncio.sleep(0.004)
                 status, answer = await self.call(method, parts.path, query, json.loads(body or b"{}"))
                 payload = json.dumps(answer).encode()
+                if not self.paths[number].is_set():
+                    await self.paths[number].wait()
+                    return  # "A connection on which a response is lost returns nothing further."
+                if parts.path.endswith("kv-watch") and query["prefix"] == "servers/":
+                    self.polls[number] = time.monotonic()
                 writer.write(response(status, [("Content-Type", "application/json")], payload))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -237,6 +263,8 @@
         self.work_s = lambda method, path: 0.05
         self.crashes_by = lambda path: False
         self.down_s = 2.0  # after a crash
+        self.body = lambda request_id: f"done by {self.id}".encode()
+        self.pause_s, self.pause_every_s, self.pause_phase_s = 0.0, 6.0, 0.0
         self.state = "ready"
         self.port = 0
         self.runs = []  # (time, request id, path), when a server began to work
@@ -360,13 +388,15 @@
                 del self.running[request_id]
                 asyncio.create_task(self.crash())
                 return None
+            into_pause_s = (time.monotonic() - self.pause_phase_s) % self.pause_every_s
+            await asyncio.sleep(max(0.0, self.pause_s - into_pause_s))
             await asyncio.sleep(self.work_s(method, path))
         finally:
             self.running.pop(request_id, None)
             self.free.release()
         stamp = f"{self.id}.{next(self.stamps):x}.{request_id}"
         load = [("X-Server-Load", f"{len(self.running)},{self.waiting},{self.slots}")]
-        return response(200, echo + load + [("X-Server-Stamp", stamp)], f"done by {self.id}".encode())
+        return response(200, echo + load + [("X-Server-Stamp", stamp)], self.body(request_id))
 
 
 class Host:
@@ -397,7 +427,7 @@
             "heartbeatMs": int(HEARTBEAT_S * 1000),
             "invariants": ["base", "drain", "config", "cost", "retry", "recover", "scatter", "platform"],
             "faultTolerance": {"machines": 1, "zones": 0, "regions": 0}, "bounds": BOUNDS,
-            "platform": {"address": self.lab.store.addr, "form": "kv", "writesPerS": 400,
+            "platform": {"address": await self.lab.store.addr_for(self.number), "form": "kv", "writesPerS": 400,
                          "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "ttlMinMs": 1000},
         }
         path = Path(self.lab.folder) / f"boot-{self.number}.json"
@@ -453,7 +483,7 @@
         await self.store.start(f"{self.net}.200")
 
     async def add_server(self, name, service, **options):
-        server = Server(self.store, self.record, name, service, f"{self.net}.{100 + len(self.servers)}", **options)
+        server = Server(self.store, self.record, name, service, f"{self.net}.{20 + len(self.servers)}", **options)
         self.servers.append(server)
         await server.start()
         return server
