--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,8 @@
 import lab  # noqa: E402
 
 WORK_S = 0.8  # hallenwart-app: mean 220 ms, at most 1,300 ms
-USUAL_PER_S = 7.5  # three quarters of what two servers of four slots can do
+SERVERS = 6  # one of them leaves: a share of 0.167
+USUAL_PER_S = 22.5  # three quarters of what six servers of four slots can do
 BURST_X, BURST_S = 2.6, 6.5
 DRAIN_AT_S = 5.5  # after the start of the burst
 LITTLE_LONGER_S = 2.0  # for which a draining server serves beyond drainMs
@@ -22,7 +23,7 @@
 async def case(run):
     await run.start_store()
     servers = [await run.add_server(f"i-hall{n}", "hall", slots=4, queue=16, max_connections=12)
-               for n in (1, 2)]
+               for n in range(1, SERVERS + 1)]
     for server in servers:
         server.work_s = lambda method, path: WORK_S
     run.configure(7, [{
