Count a server's drain from the last confirmed state, not from learning of it

Cause: a leaving server is the last resort of its service for 1.5 s, counted from the moment at which the host learned of the drain. Hosts behind a reader that is cut off from the store learn of it up to 2.1 s late, and both add up.

Change: the directory of servers knows when it last matched discovery, and counts a drain or a removal from then, for the platform's drainMs less 0.5 s. An entry found missing after an outage, which may have expired, is kept for 1.5 s as before. A starting host does not call a server that it finds draining. Lines of part upstream name the time within which a change was written.

--- a/crates/connection/replica/src/directory.rs
+++ b/crates/connection/replica/src/directory.rs
@@ -14,10 +14,13 @@
     },
 };
 
-/// Time for which a leaving server is still called if its service has no other
-/// server. Discovery lags by one second, and the platform's shortest drain
-/// period is 3 s.
-const LEAVING_GRACE: Duration = Duration::from_millis(1_500);
+/// Part of the drain period in which no call is sent to a leaving server any more.
+/// Covers the way of the call, and that of the confirmation over other hosts.
+const DRAIN_MARGIN: Duration = Duration::from_millis(500);
+/// Time for which a server is still called if its service has no other server and
+/// its entry may have expired, rather than been removed by the server, while
+/// discovery was unavailable.
+const LAPSED_GRACE: Duration = Duration::from_millis(1_500);
 /// Time for which it is remembered that a removed server had said that it leaves.
 const DEPARTED_RETENTION: Duration = Duration::from_secs(600);
 /// Largest relative increase of a cost by random jitter, which keeps hosts with
@@ -66,25 +69,61 @@
     by_id: HashMap<ServerId, ReplicaKey>,
     by_service: HashMap<ServiceName, Vec<ReplicaKey>>,
     last_key: ReplicaKey,
-    /// Removed incarnations that had said that they leave, and when they had.
+    /// Removed incarnations that had said that they leave, and until when they could
+    /// be called.
     departed: HashMap<(ServerId, Option<u64>), Instant>,
+    /// Time for which a leaving server serves after discovery has listed it as such.
+    drain_period: Duration,
+    /// Latest time at which the directory was known to match discovery. A server
+    /// that is found to leave began to do so after it.
+    confirmed_at: Option<Instant>,
 }
 
 impl ServerDirectory {
-    /// Creates an empty directory for a host at `locality`.
-    pub fn new(locality: Locality) -> Self {
+    /// Creates an empty directory for a host at `locality`. Servers that begin to
+    /// leave still serve for `drain_period`.
+    pub fn new(locality: Locality, drain_period: Duration) -> Self {
         Self {
             locality,
+            drain_period,
             ..Self::default()
         }
     }
 
+    /// Records that the directory matched discovery at `at`.
+    pub fn on_confirmed(&mut self, at: Instant) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Returns the time until which a server may be called that began to leave after
+    /// the last confirmation and no later than `now`.
+    ///
+    /// Counts from the confirmation, since the drain may have begun right after it.
+    fn drain_until(&self, now: Instant) -> Instant {
+        let began_at = self.confirmed_at.unwrap_or(now);
+        began_at + self.drain_period.saturating_sub(DRAIN_MARGIN)
+    }
+
+    /// Returns the time until which a server may be called whose entry is gone.
+    fn unlisted_until(&self, now: Instant) -> Instant {
+        let age = |at| now.saturating_duration_since(at);
+        if self
+            .confirmed_at
+            .is_some_and(|at| age(at) < self.drain_period)
+        {
+            self.drain_until(now)
+        } else {
+            now + LAPSED_GRACE
+        }
+    }
+
     /// Adds or updates a server that discovery lists.
     pub fn upsert(&mut self, entry: ServerEntry, now: Instant) -> EntryChange {
+        let drain_until = self.drain_until(now);
         if let Some(key) = self.by_id.get(&entry.id).copied() {
             if let Some(known) = self.servers.get_mut(&key) {
                 if known.entry.is_same_incarnation(&entry) {
-                    return update_entry(known, entry, now);
+                    return update_entry(known, entry, drain_until);
                 }
             }
             self.remove(key);
@@ -97,12 +136,14 @@
         let distance = self.locality.distance(&entry.zone);
         let mut server = Server::new(entry, distance, now);
         if server.entry.state == ServerState::Draining {
-            server.leaving_since = Some(now);
+            // Without any confirmation, the drain may have begun at any time.
+            let is_start_known = self.confirmed_at.is_some();
+            server.leave_by(if is_start_known { drain_until } else { now });
         }
         // Discovery may list a server again that has said that it leaves.
         let incarnation = (server.entry.id.clone(), server.entry.started_at_ms);
-        if let Some(at) = self.departed.get(&incarnation) {
-            server.on_leaving(*at);
+        if let Some(until) = self.departed.get(&incarnation) {
+            server.on_leaving(*until);
         }
         self.servers.insert(key, server);
         EntryChange::New
@@ -113,12 +154,13 @@
     /// The server is kept as a last resort, since entries also expire while the
     /// store is unavailable and reappear afterwards.
     pub fn mark_unlisted(&mut self, id: &str, now: Instant) -> bool {
+        let until = self.unlisted_until(now);
         let server = self.by_id.get(id).and_then(|key| self.servers.get_mut(key));
         let Some(server) = server else {
             return false;
         };
         server.is_listed = false;
-        server.leaving_since.get_or_insert(now);
+        server.leave_by(until);
         true
     }
 
@@ -137,11 +179,10 @@
     /// and returns their keys.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<ReplicaKey> {
         self.departed
-            .retain(|_, at| now.saturating_duration_since(*at) < DEPARTED_RETENTION);
+            .retain(|_, until| now.saturating_duration_since(*until) < DEPARTED_RETENTION);
         let expired = self.servers.iter().filter(|(_, server)| {
-            let since = server.leaving_since;
-            let is_expired = |since| now.saturating_duration_since(since) >= LEAVING_GRACE;
-            !server.is_listed && since.is_some_and(is_expired)
+            let is_expired = server.callable_until.is_some_and(|until| until <= now);
+            !server.is_listed && is_expired
         });
         let expired: Vec<ReplicaKey> = expired.map(|(key, _)| *key).collect();
         for key in &expired {
@@ -159,12 +200,12 @@
         let Some(server) = self.servers.remove(&key) else {
             return;
         };
-        if let Some(at) = server
-            .leaving_since
+        if let Some(until) = server
+            .callable_until
             .filter(|_| server.has_announced_leaving)
         {
             let incarnation = (server.entry.id.clone(), server.entry.started_at_ms);
-            self.departed.insert(incarnation, at);
+            self.departed.insert(incarnation, until);
         }
         if self.by_id.get(&server.entry.id) == Some(&key) {
             self.by_id.remove(&server.entry.id);
@@ -201,7 +242,7 @@
     fn is_ready(&self, key: ReplicaKey) -> bool {
         self.servers
             .get(&key)
-            .is_some_and(|server| server.leaving_since.is_none())
+            .is_some_and(|server| !server.is_leaving())
     }
 
     /// Picks the server of `service` with the lowest cost: the expected time to
@@ -384,8 +425,9 @@
 
     /// Records that a server has said that it leaves, and returns whether that is new.
     pub fn on_leaving(&mut self, key: ReplicaKey, now: Instant) -> bool {
+        let until = self.drain_until(now);
         let server = self.servers.get_mut(&key);
-        server.is_some_and(|server| server.on_leaving(now))
+        server.is_some_and(|server| server.on_leaving(until))
     }
 
     /// Records that a server wants no calls of this host for `time`.
@@ -422,25 +464,23 @@
 ///
 /// Servers of a lower tier are preferred: 0 is healthy, 1 ejected, 2 leaving.
 fn tier(server: &Server, now: Instant) -> Option<u8> {
-    if let Some(since) = server.leaving_since {
-        return (now.saturating_duration_since(since) < LEAVING_GRACE).then_some(2);
+    if let Some(until) = server.callable_until {
+        return (now < until).then_some(2);
     }
     Some(u8::from(server.is_ejected(now)))
 }
 
-fn update_entry(known: &mut Server, entry: ServerEntry, now: Instant) -> EntryChange {
-    let was_leaving = known.leaving_since.is_some();
+fn update_entry(known: &mut Server, entry: ServerEntry, drain_until: Instant) -> EntryChange {
+    let was_leaving = known.is_leaving();
     match entry.state {
-        ServerState::Draining => {
-            known.leaving_since.get_or_insert(now);
-        }
+        ServerState::Draining => known.leave_by(drain_until),
         // The entry had expired during an outage of the store; the server never left.
-        ServerState::Ready if !known.has_announced_leaving => known.leaving_since = None,
+        ServerState::Ready if !known.has_announced_leaving => known.callable_until = None,
         ServerState::Ready => {}
     }
     known.entry = entry;
     known.is_listed = true;
-    if was_leaving == known.leaving_since.is_some() {
+    if was_leaving == known.is_leaving() {
         EntryChange::Same
     } else {
         EntryChange::Changed
--- a/crates/connection/replica/src/server.rs
+++ b/crates/connection/replica/src/server.rs
@@ -83,9 +83,10 @@
     call_rate: Option<CallRate>,
     /// Whether discovery lists the server.
     pub(crate) is_listed: bool,
-    /// When the server began to leave: discovery listed it as draining or no
-    /// longer listed it, or the server refused a call because it drains.
-    pub(crate) leaving_since: Option<Instant>,
+    /// Time until which the server is called if its service has no other, once it
+    /// leaves: discovery lists it as draining or no longer lists it, or the server
+    /// itself has said so.
+    pub(crate) callable_until: Option<Instant>,
 }
 
 impl Server {
@@ -105,7 +106,7 @@
             quiet_until: None,
             call_rate: None,
             is_listed: true,
-            leaving_since: None,
+            callable_until: None,
             entry,
         }
     }
@@ -166,7 +167,7 @@
                 None
             }
             Evidence::Refused(Refusal::Draining) => {
-                self.leaving_since.get_or_insert(now);
+                self.leave_by(now);
                 None
             }
             Evidence::Refused(Refusal::Other) | Evidence::Inconclusive => None,
@@ -211,9 +212,21 @@
         self.call_rate.take().is_some()
     }
 
-    /// Records that the server has said that it leaves, and returns whether that is new.
-    pub(crate) fn on_leaving(&mut self, now: Instant) -> bool {
-        self.leaving_since.get_or_insert(now);
+    /// Records that the server leaves and is called until `until` at most. A time that
+    /// is already set stays.
+    pub(crate) fn leave_by(&mut self, until: Instant) {
+        self.callable_until.get_or_insert(until);
+    }
+
+    /// Returns whether the server is known to leave.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.callable_until.is_some()
+    }
+
+    /// Records that the server has said that it leaves and is called until `until`
+    /// at most, and returns whether that is new.
+    pub(crate) fn on_leaving(&mut self, until: Instant) -> bool {
+        self.leave_by(until);
         !std::mem::replace(&mut self.has_announced_leaving, true)
     }
 
--- a/crates/connection/replica/tests/call_rate.rs
+++ b/crates/connection/replica/tests/call_rate.rs
@@ -20,7 +20,7 @@
 };
 
 fn directory(now: Instant) -> ServerDirectory {
-    let mut directory = ServerDirectory::new(Locality::default());
+    let mut directory = ServerDirectory::new(Locality::default(), Duration::from_secs(3));
     let entry = ServerEntry {
         id: "server".into(),
         service: "shard".into(),
--- a/crates/connection/replica/tests/replicas.rs
+++ b/crates/connection/replica/tests/replicas.rs
@@ -16,6 +16,8 @@
 };
 
 const MEDIAN_MS: f64 = 10.0;
+/// Time for which a leaving server serves.
+const DRAIN: Duration = Duration::from_secs(2);
 const PROFILE: CallProfile = CallProfile {
     median_ms: MEDIAN_MS,
     retry_reserve: 1.0,
@@ -62,7 +64,7 @@
 }
 
 fn two_servers(now: Instant) -> (ServerDirectory, u64, u64) {
-    let mut replicas = ServerDirectory::new(locality());
+    let mut replicas = ServerDirectory::new(locality(), DRAIN);
     replicas.upsert(entry("near", 1, "a-1"), now);
     replicas.upsert(entry("far", 2, "b-1"), now);
     let keys = replicas.ready(&service());
@@ -168,6 +170,60 @@
     assert_eq!(fallback(now + ms(2_000)), None);
 }
 
+/// Returns `near` as discovery lists it while it drains.
+fn draining_near() -> ServerEntry {
+    ServerEntry {
+        state: ServerState::Draining,
+        ..entry("near", 1, "a-1")
+    }
+}
+
+// Guards against calls to a server whose drain is over, by a host that learned late
+// of its beginning.
+#[test]
+fn a_drain_that_is_learned_of_late_ends_no_later() {
+    let began = Instant::now();
+    for is_removed in [false, true] {
+        for delay in [ms(100), ms(1_000), DRAIN - ms(100)] {
+            let (mut replicas, near, far) = two_servers(began);
+            replicas.on_confirmed(began);
+            let learned_at = began + delay;
+            if is_removed {
+                replicas.mark_unlisted("near", learned_at);
+            } else {
+                replicas.upsert(draining_near(), learned_at);
+            }
+            let fallback = |at| {
+                let pick = replicas.pick(&service(), &[far], PROFILE, at, &mut rng());
+                pick.map(|pick| pick.key)
+            };
+            let is_used = learned_at < began + ms(1_400);
+            assert_eq!(fallback(learned_at), is_used.then_some(near), "{delay:?}");
+            assert_eq!(fallback(began + DRAIN), None, "{delay:?}");
+        }
+    }
+}
+
+#[test]
+fn a_starting_host_does_not_call_a_server_whose_drain_may_be_over() {
+    let now = Instant::now();
+    let mut replicas = ServerDirectory::new(locality(), DRAIN);
+    assert_eq!(replicas.upsert(draining_near(), now), EntryChange::New);
+    assert_eq!(picked_id(&replicas, now), None);
+}
+
+#[test]
+fn an_entry_that_may_have_expired_in_an_outage_keeps_its_server_for_a_while() {
+    let now = Instant::now();
+    let (mut replicas, ..) = two_servers(now);
+    replicas.on_confirmed(now);
+    let back_at = now + DRAIN * 4;
+    replicas.mark_missing_unlisted(&HashSet::new(), back_at);
+    let picked = |after| picked_id(&replicas, back_at + after);
+    assert_eq!(picked(ms(1_000)).as_deref(), Some("near"));
+    assert_eq!(picked(ms(2_000)), None);
+}
+
 #[test]
 fn server_listed_again_after_a_store_outage_is_kept() {
     let now = Instant::now();
--- a/crates/process/gateway/src/apply.rs
+++ b/crates/process/gateway/src/apply.rs
@@ -143,7 +143,8 @@
     if let Some(id) = key.strip_prefix(A::Layout::SERVER_PREFIX) {
         let is_known = shared.servers.borrow_mut().mark_unlisted(id, now);
         if is_known {
-            log::info!(target: "upstream", "Server {id} was removed from the store.");
+            let age_ms = state_age_ms(shared, now);
+            log::info!(target: "upstream", "Server {id} was removed from the store in the last {age_ms} ms.");
         }
         return Some(is_known);
     }
@@ -160,9 +161,11 @@
     match A::Layout::parse_server(id.clone(), &item.bytes) {
         Ok(entry) => {
             let state = entry.state;
-            let change = shared.servers.borrow_mut().upsert(entry, Instant::now());
+            let now = Instant::now();
+            let change = shared.servers.borrow_mut().upsert(entry, now);
             if change != EntryChange::Same {
-                log::info!(target: "upstream", "Server {id} is {change:?}, {state:?}.");
+                let age_ms = state_age_ms(shared, now);
+                log::info!(target: "upstream", "Server {id} is {change:?}, {state:?}, written in the last {age_ms} ms.");
             }
             Some(change != EntryChange::Same)
         }
@@ -175,6 +178,13 @@
     }
 }
 
+/// Returns the time since this host's copy was last known to match the store, in
+/// milliseconds; a change that it learns of now was written within that time.
+fn state_age_ms<A: Adapter>(shared: &Shared<A>, now: Instant) -> u128 {
+    let age = shared.store_cache.borrow().age(now);
+    age.unwrap_or(Duration::MAX).as_millis()
+}
+
 fn apply_hold<A: Adapter>(shared: &Shared<A>, request: &str, item: &Item) -> Option<bool> {
     let record = serde_json::from_slice::<HoldRecord>(&item.bytes);
     let (Some(request), Ok(record)) = (crashes::held_request(request), record) else {
--- a/crates/process/gateway/src/settings.rs
+++ b/crates/process/gateway/src/settings.rs
@@ -14,6 +14,8 @@
 const BALANCER_LAG: Duration = Duration::from_millis(2_500);
 /// Share of the time for a shutdown that requests in flight may use.
 const DRAIN_SHARE: f64 = 0.85;
+/// Time for which a leaving server serves if the settings name none.
+const DEFAULT_SERVER_DRAIN: Duration = Duration::from_secs(3);
 
 /// Settings as read by an adapter, not yet validated.
 #[derive(Clone, Debug, Default)]
@@ -42,6 +44,9 @@
     pub retry_slack: f64,
     /// Time from the stop signal until the process has to be gone, in milliseconds.
     pub shutdown_timeout_ms: u64,
+    /// Time for which a leaving server serves after the store has recorded that it
+    /// leaves, in milliseconds; `None` if it is not known.
+    pub server_drain_ms: Option<u64>,
     /// Share of a core that is available to the host.
     pub cpu_share: f64,
     /// Whether all hosts start together for the first time.
@@ -67,6 +72,8 @@
     pub metrics_addr: Option<SocketAddr>,
     /// Limit on extra calls, for all hosts together.
     pub allowance: Allowance,
+    /// Time for which a leaving server serves after the store has recorded that it leaves.
+    pub server_drain: Duration,
     /// Share of a core that is available to the host, in thousandths.
     pub cpu_millis: u32,
     /// Whether all hosts start together for the first time.
@@ -137,6 +144,9 @@
                 ratio: raw.retry_ratio,
                 slack: raw.retry_slack,
             },
+            server_drain: raw
+                .server_drain_ms
+                .map_or(DEFAULT_SERVER_DRAIN, Duration::from_millis),
             cpu_millis: (raw.cpu_share * 1_000.0) as u32,
             is_new_fleet: raw.is_new_fleet,
             balancer_lag: BALANCER_LAG.min(max_drain / 2),
--- a/crates/process/gateway/src/shared.rs
+++ b/crates/process/gateway/src/shared.rs
@@ -76,7 +76,10 @@
             keys,
             life: Arc::default(),
             table: RefCell::default(),
-            servers: RefCell::new(ServerDirectory::new(settings.locality.clone())),
+            servers: RefCell::new(ServerDirectory::new(
+                settings.locality.clone(),
+                settings.server_drain,
+            )),
             latency_medians: RefCell::default(),
             extra_call_budgets: RefCell::new(ExtraCallBudgets::new(settings.allowance, 1)),
             splits: RefCell::default(),
@@ -124,6 +127,7 @@
 
     /// Records that the whole store cache matched the store at `at`.
     pub(crate) fn on_store_read(&self, at: Instant) {
+        self.servers.borrow_mut().on_confirmed(at);
         if self.store_cache.borrow_mut().on_read(at) {
             // Peers may be waiting for newer data, or for any at all.
             self.store_changed.notify_waiters();
--- a/crates/request/scatter/tests/load/mod.rs
+++ b/crates/request/scatter/tests/load/mod.rs
@@ -163,10 +163,13 @@
                 .collect(),
             servers: Vec::new(),
             server_index: HashMap::new(),
-            replicas: replica::ServerDirectory::new(Locality {
-                zone: "a".to_owned(),
-                regions: HashMap::from([("a".to_owned(), "r".to_owned())]),
-            }),
+            replicas: replica::ServerDirectory::new(
+                Locality {
+                    zone: "a".to_owned(),
+                    regions: HashMap::from([("a".to_owned(), "r".to_owned())]),
+                },
+                Duration::from_secs(3),
+            ),
             works: LatencyMedians::default(),
             extra_call_budgets: ExtraCallBudgets::new(
                 Allowance {
