Check a call again right before it is sent, after it has waited for a connection

Cause: a server is picked when a request arrives. If all connections that the host may hold to it are in use, the request waits for one until its deadline and follows the server, whatever becomes of it meanwhile. The class: a decision made early, acted on late, and not made again.

Change: every send passes ServerDirectory::check_send. A call whose server has begun to leave after it was picked goes to another server if there is one that takes calls; it has not run and costs no extra call. Calls that wait are woken when a server begins to leave, is removed or wants no calls.

--- a/crates/connection/replica/src/directory.rs
+++ b/crates/connection/replica/src/directory.rs
@@ -61,6 +61,17 @@
     pub distance: Distance,
 }
 
+/// Why a call that was picked earlier is not sent to its server any more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendRefusal {
+    /// The server is not known any more.
+    Unknown,
+    /// The server wants no calls of this host now.
+    Quiet,
+    /// The server leaves.
+    Leaving,
+}
+
 /// All known servers, by service.
 #[derive(Debug, Default)]
 pub struct ServerDirectory {
@@ -437,10 +448,55 @@
         }
     }
 
-    /// Returns whether a server wants no calls of this host now.
-    pub fn is_quiet(&self, key: ReplicaKey, now: Instant) -> bool {
-        let server = self.servers.get(&key);
-        server.is_some_and(|server| !server.quiet_for(now).is_zero())
+    /// Returns whether a server is known to leave.
+    pub fn is_leaving(&self, key: ReplicaKey) -> bool {
+        self.servers.get(&key).is_some_and(Server::is_leaving)
+    }
+
+    /// Returns the time until which a leaving server may be called.
+    pub fn callable_until(&self, key: ReplicaKey) -> Option<Instant> {
+        self.servers.get(&key)?.callable_until
+    }
+
+    /// Checks that a call which was picked earlier, and has waited since, may still
+    /// be sent. `was_leaving` tells whether the server was known to leave when it was
+    /// picked.
+    ///
+    /// A call whose server has begun to leave meanwhile is sent to it only if its
+    /// service has no other server that takes calls.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call must not be sent.
+    pub fn check_send(
+        &self,
+        key: ReplicaKey,
+        was_leaving: bool,
+        now: Instant,
+    ) -> Result<(), SendRefusal> {
+        let server = self.servers.get(&key).ok_or(SendRefusal::Unknown)?;
+        if !server.quiet_for(now).is_zero() {
+            return Err(SendRefusal::Quiet);
+        }
+        let is_called = match server.callable_until {
+            None => true,
+            Some(until) => now < until && (was_leaving || !self.has_sibling(key, server, now)),
+        };
+        if is_called {
+            Ok(())
+        } else {
+            Err(SendRefusal::Leaving)
+        }
+    }
+
+    /// Returns whether the service of `server` has another server that takes calls.
+    fn has_sibling(&self, key: ReplicaKey, server: &Server, now: Instant) -> bool {
+        let keys = self.by_service.get(&server.entry.service);
+        let mut others = keys.into_iter().flatten().filter(|other| **other != key);
+        others.any(|other| {
+            let other = &self.servers[other];
+            tier(other, now) == Some(0) && other.closed_for(now).is_zero()
+        })
     }
 
     /// Returns the time until the first server of `service` takes a call of this
--- a/crates/connection/replica/tests/replicas.rs
+++ b/crates/connection/replica/tests/replicas.rs
@@ -4,7 +4,7 @@
     link::{Evidence, Refusal},
     rand::{rngs::StdRng, SeedableRng},
     replica::{
-        CallProfile, Distance, EntryChange, LatencyMedians, Locality, ReportedLoad,
+        CallProfile, Distance, EntryChange, LatencyMedians, Locality, ReportedLoad, SendRefusal,
         ServerDirectory, ServerEntry, ServerState,
     },
     routing::ServiceName,
@@ -212,6 +212,33 @@
     assert_eq!(picked_id(&replicas, now), None);
 }
 
+// Guards against calls that were picked before a server began to leave and reach it
+// after its drain.
+#[test]
+fn a_call_that_has_waited_is_checked_again_before_it_is_sent() {
+    let now = Instant::now();
+    let (mut replicas, near, far) = two_servers(now);
+    replicas.on_confirmed(now);
+    assert_eq!(replicas.check_send(near, false, now), Ok(()));
+    replicas.upsert(draining_near(), now);
+    let leaving = Err(SendRefusal::Leaving);
+    assert_eq!(replicas.check_send(near, false, now), leaving);
+    // It was the last resort already when it was picked, or still is.
+    assert_eq!(replicas.check_send(near, true, now), Ok(()));
+    replicas.on_retry_after(far, ms(400), now);
+    assert_eq!(replicas.check_send(near, false, now), Ok(()));
+    assert_eq!(
+        replicas.check_send(far, false, now),
+        Err(SendRefusal::Quiet)
+    );
+    for was_leaving in [false, true] {
+        assert_eq!(replicas.check_send(near, was_leaving, now + DRAIN), leaving);
+    }
+    replicas.on_address_reused(near);
+    let unknown = Err(SendRefusal::Unknown);
+    assert_eq!(replicas.check_send(near, true, now), unknown);
+}
+
 #[test]
 fn an_entry_that_may_have_expired_in_an_outage_keeps_its_server_for_a_while() {
     let now = Instant::now();
--- a/crates/process/gateway/src/apply.rs
+++ b/crates/process/gateway/src/apply.rs
@@ -143,6 +143,7 @@
     if let Some(id) = key.strip_prefix(A::Layout::SERVER_PREFIX) {
         let is_known = shared.servers.borrow_mut().mark_unlisted(id, now);
         if is_known {
+            shared.servers_changed.notify_waiters();
             let age_ms = state_age_ms(shared, now);
             log::info!(target: "upstream", "Server {id} was removed from the store in the last {age_ms} ms.");
         }
@@ -164,6 +165,7 @@
             let now = Instant::now();
             let change = shared.servers.borrow_mut().upsert(entry, now);
             if change != EntryChange::Same {
+                shared.servers_changed.notify_waiters();
                 let age_ms = state_age_ms(shared, now);
                 log::info!(target: "upstream", "Server {id} is {change:?}, {state:?}, written in the last {age_ms} ms.");
             }
--- a/crates/process/gateway/src/call.rs
+++ b/crates/process/gateway/src/call.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         crashes,
-        exchange::{self, ExchangeResult, FailedCall, OutgoingRequest},
+        exchange::{self, ExchangeResult, ExchangeTarget, FailedCall, OutgoingRequest},
         response::PartReply,
         server_selection::CallTarget,
         shared::Shared,
@@ -45,6 +45,8 @@
     number: u64,
     registered_at: Instant,
     server: ReplicaKey,
+    /// Whether the server was known to leave when it was picked.
+    was_leaving: bool,
 }
 
 /// Counts a call against its server before it is sent, so that requests handled
@@ -62,6 +64,7 @@
         number,
         registered_at,
         server,
+        was_leaving: servers.is_leaving(server),
     }
 }
 
@@ -79,7 +82,13 @@
         number,
         registered_at: started_at,
         server,
+        was_leaving,
     } = registered;
+    let target = ExchangeTarget {
+        key: server,
+        was_leaving,
+        max_connections,
+    };
     let open_call = OpenCall {
         shared: &shared,
         route: &route,
@@ -90,8 +99,7 @@
     let exchange_result = select! {
         exchange_result = exchange::run(
             &shared,
-            server,
-            max_connections,
+            target,
             &outgoing,
             || !result_sender.is_closed()
         ) => Some(exchange_result),
@@ -184,6 +192,7 @@
         );
         shared.servers.borrow_mut().on_address_reused(server);
         shared.connections.borrow_mut().remove_pool(server);
+        shared.servers_changed.notify_waiters();
     }
 }
 
--- a/crates/process/gateway/src/connections.rs
+++ b/crates/process/gateway/src/connections.rs
@@ -1,14 +1,14 @@
 //! Connections to servers, with one pool per server.
 
 use {
-    crate::{shared::Shared, Adapter},
+    crate::{exchange::ExchangeTarget, shared::Shared, Adapter},
     bytes::Bytes,
     http_body_util::Full,
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     link::{CheckedOutConnection, CheckoutDecision, Pool, PoolConfig},
     record::ServerAddr,
-    replica::ReplicaKey,
+    replica::{ReplicaKey, SendRefusal},
     socket2::{SockRef, TcpKeepalive},
     std::{
         collections::HashMap,
@@ -18,9 +18,10 @@
     },
     tokio::{
         net::TcpStream,
+        select,
         sync::Notify,
         task::spawn_local,
-        time::{sleep_until, timeout, timeout_at},
+        time::{sleep_until, timeout},
     },
 };
 
@@ -46,8 +47,21 @@
 pub(crate) enum AcquireError {
     /// The server did not accept a connection.
     Unreachable,
-    /// All connections that this host may hold are in use, or the server is at its limit.
+    /// All connections that this host may hold are in use, or the server is at its
+    /// limit or wants no calls now.
     Busy,
+    /// The server leaves.
+    Leaving,
+}
+
+impl From<SendRefusal> for AcquireError {
+    fn from(refusal: SendRefusal) -> Self {
+        match refusal {
+            SendRefusal::Unknown => Self::Unreachable,
+            SendRefusal::Quiet => Self::Busy,
+            SendRefusal::Leaving => Self::Leaving,
+        }
+    }
 }
 
 struct ServerPool {
@@ -123,18 +137,31 @@
     }
 }
 
-/// Acquires a connection to a server, of which this host holds at most
-/// `max_connections`. Waits until `deadline` if all of them are in use.
+/// Acquires a connection to a server. Waits until `deadline` if all connections that
+/// this host may hold are in use, as long as the server may be called.
 pub(crate) async fn acquire<A: Adapter>(
     shared: &Shared<A>,
-    key: ReplicaKey,
-    max_connections: u32,
+    target: ExchangeTarget,
     deadline: Instant,
 ) -> Result<CheckedOutConnection<Connection>, AcquireError> {
+    let ExchangeTarget {
+        key,
+        max_connections,
+        ..
+    } = target;
     let addr = shared.servers.borrow().entry(key).map(|entry| entry.addr);
     let addr = addr.ok_or(AcquireError::Unreachable)?;
     loop {
         let now = Instant::now();
+        let callable_until = {
+            let servers = shared.servers.borrow();
+            servers.check_send(key, target.was_leaving, now)?;
+            servers.callable_until(key)
+        };
+        let wait_until = callable_until.map_or(deadline, |until| until.min(deadline));
+        if now >= deadline {
+            return Err(AcquireError::Busy);
+        }
         let (checkout, connection_returned) = {
             let mut connections = shared.connections.borrow_mut();
             let server = connections.pool(key, max_connections);
@@ -151,8 +178,11 @@
             CheckoutDecision::Reuse(lease) => return Ok(lease),
             CheckoutDecision::Open(_) => return open(shared, key, addr, deadline).await,
             CheckoutDecision::Wait => {
-                let wait = timeout_at(deadline.into(), connection_returned.notified());
-                wait.await.map_err(|_| AcquireError::Busy)?;
+                select! {
+                    () = connection_returned.notified() => {}
+                    () = shared.servers_changed.notified() => {}
+                    () = sleep_until(wait_until.into()) => {}
+                }
             }
             CheckoutDecision::BackOff(until) if until >= deadline => {
                 return Err(AcquireError::Busy)
--- a/crates/process/gateway/src/exchange.rs
+++ b/crates/process/gateway/src/exchange.rs
@@ -53,6 +53,16 @@
     pub(crate) fingerprint: Fingerprint,
 }
 
+/// The server of a call, and what was known of it when it was picked.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExchangeTarget {
+    pub(crate) key: ReplicaKey,
+    /// Whether the server was known to leave.
+    pub(crate) was_leaving: bool,
+    /// Number of connections to the server that this host may hold.
+    pub(crate) max_connections: u32,
+}
+
 /// The result of a call and what it indicates about the server.
 #[derive(Debug)]
 pub(crate) struct ExchangeResult {
@@ -89,13 +99,13 @@
 /// the call waited for a connection.
 pub(crate) async fn run<A: Adapter>(
     shared: &Shared<A>,
-    key: ReplicaKey,
-    max_connections: u32,
+    target: ExchangeTarget,
     outgoing: &OutgoingRequest,
     is_wanted: impl Fn() -> bool,
 ) -> ExchangeResult {
+    let key = target.key;
     for _ in 0..MAX_STALE_CONNECTIONS {
-        let lease = connections::acquire(shared, key, max_connections, outgoing.deadline).await;
+        let lease = connections::acquire(shared, target, outgoing.deadline).await;
         let lease = match lease {
             Ok(lease) => lease,
             Err(error) => return no_connection(error),
@@ -106,15 +116,10 @@
             .entry(key)
             .map(|entry| entry.id.clone());
         let loaned = LoanedConnection::new(shared, key);
-        // The server may have refused another call while this one waited.
-        if shared.servers.borrow().is_quiet(key, Instant::now()) {
-            loaned.release(lease.connection);
-            return no_connection(AcquireError::Busy);
-        }
         let Some(id) = entry_id else {
             return no_connection(AcquireError::Unreachable);
         };
-        match send(loaned, lease, &id, outgoing, &is_wanted).await {
+        match send(loaned, lease, target, &id, outgoing, &is_wanted).await {
             Some(result) => return result,
             // The server had closed the idle connection, so nothing was sent.
             None => continue,
@@ -127,6 +132,7 @@
     let (reason, evidence) = match error {
         AcquireError::Unreachable => (Reason::Unreachable, Evidence::Unreachable),
         AcquireError::Busy => (Reason::Shed, Evidence::Inconclusive),
+        AcquireError::Leaving => (Reason::Draining, Evidence::Inconclusive),
     };
     let failure = Failure {
         reason,
@@ -175,6 +181,7 @@
 async fn send<A: Adapter>(
     loaned: LoanedConnection<'_, A>,
     lease: CheckedOutConnection<Connection>,
+    target: ExchangeTarget,
     id: &ServerId,
     outgoing: &OutgoingRequest,
     is_wanted: &impl Fn() -> bool,
@@ -185,6 +192,16 @@
         return None;
     }
     let sent_at = Instant::now();
+    // The server may have begun to leave, or refused another call, while this one
+    // waited for the connection.
+    let checked = {
+        let servers = loaned.shared.servers.borrow();
+        servers.check_send(target.key, target.was_leaving, sent_at)
+    };
+    if let Err(refusal) = checked {
+        loaned.release(connection);
+        return Some(no_connection(refusal.into()));
+    }
     let time_left = outgoing.deadline.saturating_duration_since(sent_at);
     if time_left < MIN_TIME_LEFT || !is_wanted() {
         loaned.release(connection);
@@ -329,8 +346,10 @@
     let mut servers = shared.servers.borrow_mut();
     if let Some(time) = reply.metadata.retry_after {
         servers.on_retry_after(key, time, now);
+        shared.servers_changed.notify_waiters();
     }
     if reply.metadata.is_leaving && servers.on_leaving(key, now) {
+        shared.servers_changed.notify_waiters();
         let id = servers.entry(key).map_or("-", |entry| &*entry.id);
         log::info!(target: "upstream", "Server {id} says that it leaves.");
     }
--- a/crates/process/gateway/src/shared.rs
+++ b/crates/process/gateway/src/shared.rs
@@ -45,6 +45,8 @@
     pub(crate) peers: RefCell<Peers>,
     pub(crate) relays: RefCell<Relays>,
     pub(crate) store_cache: RefCell<StoreCache>,
+    /// Notified when a server begins to leave, is removed or wants no calls for a while.
+    pub(crate) servers_changed: Notify,
     /// Notified when the store cache changes, is first filled or is confirmed.
     pub(crate) store_changed: Notify,
     /// Where the data in the store cache came from last.
@@ -91,6 +93,7 @@
             peers: RefCell::default(),
             relays: RefCell::default(),
             store_cache: RefCell::default(),
+            servers_changed: Notify::new(),
             store_changed: Notify::new(),
             data_source: Cell::new(DataSource::Store),
             has_discovered: Cell::new(false),
