Bound the heads of servers that a host keeps, on all connections together

Cause: the HTTP library bounds a head at about 400 kB for each connection; nothing bounds them together, and a host has hundreds of connections.

Change: a connection to a server reads into a buffer of 32 kB.

--- a/crates/process/gateway/src/connections.rs
+++ b/crates/process/gateway/src/connections.rs
@@ -36,6 +36,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time that sent data may remain unacknowledged before the connection is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Size of the read buffer of a connection, in bytes. A server's head is no larger, so
+/// that heads without end hold bounded memory on all connections together.
+const READ_BUFFER_BYTES: usize = 32 * 1_024;
 /// Interval of TCP keepalive probes, which detect idle connections whose peer is gone.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -249,7 +252,9 @@
     let stream = TcpStream::connect(addr).await?;
     stream.set_nodelay(true)?;
     enable_dead_peer_detection(&stream)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     spawn_local(async move {
