Count the trials of a request that ends servers for the request, not for a hold

Cause: the bound was kept for a hold. A hold ended after 60 s and the request ran freely on all hosts; each hold had two canaries; a restart of the owner of the request began them anew.

Each canary is counted in the key in the store before it runs, by a write that fails if the key has changed (KeyPrefixStore::write_if). The owner writes the key anew while it lasts. Retry-After names the time until the next canary. The number of holds is bounded.

--- a/crates/connection/link/src/crash_ledger.rs
+++ b/crates/connection/link/src/crash_ledger.rs
@@ -8,7 +8,9 @@
 //! without any answer. A single answer proves a request harmless.
 //!
 //! A request that is held back runs again only as a canary of its owner, so that a
-//! mistake, such as many servers lost for another reason, ends by itself.
+//! mistake, such as many servers lost for another reason, ends by itself. The
+//! canaries are counted for the request: within [`HOLD_TIME`] it reaches no more
+//! servers than there are [`CANARY_TIMES`], whichever hosts own it meanwhile.
 
 use {
     crate::{known_good::KnownGood, Fingerprint},
@@ -22,15 +24,18 @@
 const CRASHES_TO_HOLD: usize = 3;
 /// Age from which a crash no longer counts.
 const CRASH_TTL: Duration = Duration::from_secs(600);
-/// Time for which a request is held back at first.
-const FIRST_HOLD: Duration = Duration::from_secs(60);
-/// Factor by which the next hold of the same request is longer.
-const HOLD_FACTOR: u32 = 10;
-/// Longest time for which a request is held back.
-const LONGEST_HOLD: Duration = Duration::from_secs(600);
-/// Times since the beginning of a hold at which a canary may run.
-const CANARY_TIMES: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(30)];
-/// Largest number of requests about which crashes are remembered.
+/// Time for which a request is held back unless a canary is answered.
+const HOLD_TIME: Duration = Duration::from_secs(24 * 3_600);
+/// Times since the beginning of a hold from which the canaries may run.
+const CANARY_TIMES: [Duration; 3] = [
+    Duration::from_secs(1),
+    Duration::from_secs(30),
+    Duration::from_secs(600),
+];
+/// Shortest time that callers of a request that is held back are told to wait.
+const MIN_WAIT: Duration = Duration::from_secs(1);
+/// Largest number of requests about which crashes are remembered, and of those that
+/// are held back.
 const MAX_SUSPECTS: usize = 4_096;
 
 /// Whether a request may run.
@@ -38,9 +43,10 @@
 pub enum Admission {
     /// Run the request.
     Run,
-    /// Run the request on one server of each shard, without retries.
+    /// Run the request on one server of each shard, without retries, once the canary
+    /// is counted where all hosts see it.
     Canary,
-    /// Do not run the request; it is held back for this time.
+    /// Do not run the request; after this time it may run again.
     Held(Duration),
 }
 
@@ -49,10 +55,18 @@
 struct Suspect {
     /// Names of distinct incarnations of servers, with the times of their loss.
     crashes: Vec<(String, Instant)>,
-    holds: u32,
     last_crash_at: Instant,
 }
 
+/// What hosts tell each other of a request that is held back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HoldState {
+    /// Time for which the request is still held back.
+    pub left: Duration,
+    /// Number of canaries that have run or may have.
+    pub canaries: usize,
+}
+
 #[derive(Debug)]
 struct Hold {
     since: Instant,
@@ -60,6 +74,14 @@
     canaries: usize,
 }
 
+impl Hold {
+    /// Returns the time from which the next canary may run, or at which the hold ends.
+    fn next_run_at(&self) -> Instant {
+        let canary_time = CANARY_TIMES.get(self.canaries);
+        canary_time.map_or(self.until, |time| (self.since + *time).min(self.until))
+    }
+}
+
 /// What a host knows of requests that end servers.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
@@ -91,21 +113,20 @@
         self.known_good.contains(request)
     }
 
-    /// Records a reported crash as the owner of the request. Returns for how long
-    /// the request is to be held back if this crash decides it.
+    /// Records a reported crash as the owner of the request. Returns the hold to begin
+    /// if this crash decides it.
     pub fn on_crash(
         &mut self,
         request: Fingerprint,
         server: &str,
         now: Instant,
-    ) -> Option<Duration> {
+    ) -> Option<HoldState> {
         if self.known_good.contains(request) || self.holds.contains_key(&request) {
             return None;
         }
         self.make_room(now);
         let suspect = self.suspects.entry(request).or_insert(Suspect {
             crashes: Vec::new(),
-            holds: 0,
             last_crash_at: now,
         });
         suspect.last_crash_at = now;
@@ -113,27 +134,45 @@
         if !suspect.crashes.iter().any(|(known, _)| known == server) {
             suspect.crashes.push((server.to_owned(), now));
         }
-        let needed = if suspect.holds == 0 {
-            CRASHES_TO_HOLD
-        } else {
-            1
-        };
-        if suspect.crashes.len() < needed {
+        if suspect.crashes.len() < CRASHES_TO_HOLD {
             return None;
         }
-        let factor = HOLD_FACTOR.saturating_pow(suspect.holds);
-        suspect.holds = suspect.holds.saturating_add(1);
-        suspect.crashes.clear();
-        Some(FIRST_HOLD.saturating_mul(factor).min(LONGEST_HOLD))
+        self.suspects.remove(&request);
+        Some(HoldState {
+            left: HOLD_TIME,
+            canaries: 0,
+        })
     }
 
-    /// Holds a request back for `duration`, unless it already is.
-    pub fn hold(&mut self, request: Fingerprint, duration: Duration, now: Instant) {
-        self.holds.entry(request).or_insert(Hold {
+    /// Holds a request back. If it already is, only canaries that other hosts have
+    /// counted are added.
+    pub fn hold(&mut self, request: Fingerprint, state: HoldState, now: Instant) {
+        if let Some(hold) = self.holds.get_mut(&request) {
+            hold.canaries = hold.canaries.max(state.canaries);
+            return;
+        }
+        self.make_room_for_hold(now);
+        let hold = Hold {
             since: now,
-            until: now + duration,
-            canaries: 0,
-        });
+            until: now + state.left.min(HOLD_TIME),
+            canaries: state.canaries,
+        };
+        self.holds.insert(request, hold);
+    }
+
+    /// Returns what to tell other hosts of a request that is held back.
+    pub fn hold_state(&self, request: Fingerprint, now: Instant) -> Option<HoldState> {
+        let hold = self.holds.get(&request)?;
+        Some(HoldState {
+            left: hold.until.saturating_duration_since(now),
+            canaries: hold.canaries,
+        })
+    }
+
+    /// Returns the requests that are held back.
+    pub fn held(&self, now: Instant) -> Vec<Fingerprint> {
+        let holds = self.holds.iter().filter(|(_, hold)| now < hold.until);
+        holds.map(|(request, _)| *request).collect()
     }
 
     /// Ends the hold of a request.
@@ -141,15 +180,15 @@
         self.holds.remove(&request);
     }
 
-    /// Returns the time for which a request is still held back.
+    /// Returns the time after which a request that is held back may run again.
     pub fn held_for(&self, request: Fingerprint, now: Instant) -> Option<Duration> {
-        let until = self.holds.get(&request)?.until;
-        until
-            .checked_duration_since(now)
-            .filter(|left| !left.is_zero())
+        let hold = self.holds.get(&request).filter(|hold| now < hold.until)?;
+        let wait = hold.next_run_at().saturating_duration_since(now);
+        Some(wait.max(MIN_WAIT))
     }
 
-    /// Decides whether a request may run. Only its owner runs canaries.
+    /// Decides whether a request may run. Only its owner runs canaries, each of which
+    /// it counts here first.
     pub fn admit(
         &mut self,
         request: Fingerprint,
@@ -163,12 +202,26 @@
             self.holds.remove(&request);
             return Admission::Run;
         }
-        let canary_time = CANARY_TIMES.get(hold.canaries);
-        if canary_time.is_some_and(|time| now >= hold.since + *time) && is_owner() {
+        if now >= hold.next_run_at() && is_owner() {
             hold.canaries += 1;
             return Admission::Canary;
         }
-        Admission::Held(hold.until - now)
+        let wait = hold.next_run_at().saturating_duration_since(now);
+        Admission::Held(wait.max(MIN_WAIT))
+    }
+
+    /// Makes room for another hold: drops those that have ended, else the oldest.
+    fn make_room_for_hold(&mut self, now: Instant) {
+        if self.holds.len() < MAX_SUSPECTS {
+            return;
+        }
+        self.holds.retain(|_, hold| now < hold.until);
+        if self.holds.len() >= MAX_SUSPECTS {
+            let oldest = self.holds.iter().min_by_key(|(_, hold)| hold.since);
+            if let Some(request) = oldest.map(|(request, _)| *request) {
+                self.holds.remove(&request);
+            }
+        }
     }
 
     /// Makes room for another suspect: drops expired ones, else the oldest.
--- a/crates/connection/link/src/lib.rs
+++ b/crates/connection/link/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use crate::{
     back_off::BackOff,
-    crash_ledger::{Admission, CrashLedger},
+    crash_ledger::{Admission, CrashLedger, HoldState},
     delta::{
         DeltaError, QuarantineDelta, QuarantinedFingerprint, ReportedCrash, WireCrash,
         WireQuarantineDelta, WireQuarantinedFingerprint,
--- a/crates/process/gateway/src/apply.rs
+++ b/crates/process/gateway/src/apply.rs
@@ -193,9 +193,8 @@
         log::warn!(target: "crash", "The entry {} cannot be read.", item.key);
         return None;
     };
-    let hold = Duration::from_millis(record.hold_ms);
     let mut crash_ledger = shared.crash_ledger.borrow_mut();
-    crash_ledger.hold(request, hold, Instant::now());
+    crash_ledger.hold(request, record.into(), Instant::now());
     Some(true)
 }
 
--- a/crates/process/gateway/src/crashes.rs
+++ b/crates/process/gateway/src/crashes.rs
@@ -11,7 +11,7 @@
     bytes::Bytes,
     fleet::Member,
     kind::{Error, Kind, Result},
-    link::{owner_weight, Admission, Fingerprint},
+    link::{owner_weight, Admission, Fingerprint, HoldState},
     replica::ReplicaKey,
     serde::{Deserialize, Serialize},
     std::{
@@ -19,7 +19,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    store::{Fault, KeyPrefixStore},
+    store::{Fault, KeyPrefixStore, StoreRevision},
     tokio::{task::spawn_local, time::sleep},
 };
 
@@ -36,12 +36,39 @@
 const WRITE_ATTEMPTS: u32 = 10;
 /// Pause between these attempts.
 const WRITE_PAUSE: Duration = Duration::from_secs(1);
+/// Time after which the store drops a hold that no host renews.
+const HOLD_LEASE_TTL: Duration = Duration::from_secs(600);
+/// Pause between renewals; two may fail before a hold is dropped.
+const RENEW_PAUSE: Duration = Duration::from_secs(180);
+/// Time that callers are told to wait if a canary could not be counted.
+const UNCOUNTED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The value of a hold's key in the store.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct HoldRecord {
     /// Time for which the request is held back, in milliseconds.
-    pub(crate) hold_ms: u64,
+    hold_ms: u64,
+    /// Number of canaries that have run or may have.
+    #[serde(default)]
+    canaries: usize,
+}
+
+impl From<HoldRecord> for HoldState {
+    fn from(record: HoldRecord) -> Self {
+        Self {
+            left: Duration::from_millis(record.hold_ms),
+            canaries: record.canaries,
+        }
+    }
+}
+
+impl From<HoldState> for HoldRecord {
+    fn from(state: HoldState) -> Self {
+        Self {
+            hold_ms: u64::try_from(state.left.as_millis()).unwrap_or(u64::MAX),
+            canaries: state.canaries,
+        }
+    }
 }
 
 /// Returns the request that the key of a hold names, without its prefix.
@@ -94,19 +121,46 @@
 
 /// Decides whether a request may run, and whether only as a canary.
 ///
+/// A canary is counted in the store before it runs, so that a host that restarts, or
+/// that takes itself for the owner as well, does not run it once more.
+///
 /// # Errors
 ///
 /// Returns [`Kind::Held`] if the request is held back.
-pub(crate) fn admit<A: Adapter>(shared: &Shared<A>, request: Fingerprint) -> Result<Admission> {
-    let is_owner = || owners(shared, request).first() == Some(&shared.settings.member);
-    let mut crash_ledger = shared.crash_ledger.borrow_mut();
-    match crash_ledger.admit(request, is_owner, Instant::now()) {
-        Admission::Held(left) => {
-            let detail = format!("request {request:016x}");
-            Err(Error::new(Kind::Held, detail).with_retry_after(left))
+pub(crate) async fn admit<A: Adapter>(
+    shared: &Shared<A>,
+    request: Fingerprint,
+) -> Result<Admission> {
+    let admission = {
+        let is_owner = || is_owner(shared, request);
+        let mut crash_ledger = shared.crash_ledger.borrow_mut();
+        crash_ledger.admit(request, is_owner, Instant::now())
+    };
+    let retry_after = match admission {
+        Admission::Run => return Ok(admission),
+        Admission::Canary => {
+            let revision = shared.store_cache.borrow().revision(&hold_key(request));
+            let is_counted =
+                revision > 0 && write_hold(shared, request, revision).await == Ok(true);
+            log::info!(target: "crash", "A canary of request {request:016x} {}.",
+                if is_counted { "runs" } else { "could not be counted and does not run" });
+            if is_counted {
+                return Ok(admission);
+            }
+            UNCOUNTED_RETRY_AFTER
         }
-        admission => Ok(admission),
-    }
+        Admission::Held(wait) => wait,
+    };
+    let detail = format!("request {request:016x}");
+    Err(Error::new(Kind::Held, detail).with_retry_after(retry_after))
+}
+
+fn is_owner<A: Adapter>(shared: &Shared<A>, request: Fingerprint) -> bool {
+    owners(shared, request).first() == Some(&shared.settings.member)
+}
+
+fn hold_key(request: Fingerprint) -> String {
+    format!("{HOLD_PREFIX}{request:016x}")
 }
 
 /// Returns the hosts that may own a request, the one to try first at the front.
@@ -139,7 +193,11 @@
         match peer::report_crash(&shared, owner.peer_addr, report, deadline).await {
             Ok(hold_ms) => {
                 if let Some(hold_ms) = hold_ms {
-                    let hold = Duration::from_millis(hold_ms.into());
+                    // The record in the store tells how many canaries have run.
+                    let hold = HoldState {
+                        left: Duration::from_millis(hold_ms.into()),
+                        canaries: 0,
+                    };
                     let mut crash_ledger = shared.crash_ledger.borrow_mut();
                     crash_ledger.hold(request, hold, Instant::now());
                 }
@@ -162,18 +220,21 @@
     let mut crash_ledger = shared.crash_ledger.borrow_mut();
     if let Some(hold) = crash_ledger.on_crash(request, server, now) {
         crash_ledger.hold(request, hold, now);
-        let hold_s = hold.as_secs();
+        let hold_s = hold.left.as_secs();
         log::warn!(target: "crash", "Request {request:016x} has ended its servers, {server} last, and is held back for {hold_s} s.");
-        spawn_local(publish(Rc::clone(shared), request, hold));
+        spawn_local(publish(Rc::clone(shared), request));
     }
-    crash_ledger.held_for(request, now)
+    let state = crash_ledger.hold_state(request, now)?;
+    Some(state.left)
 }
 
 /// Writes a hold to the store, from where all hosts learn it.
-async fn publish<A: Adapter>(shared: Rc<Shared<A>>, request: Fingerprint, hold: Duration) {
+async fn publish<A: Adapter>(shared: Rc<Shared<A>>, request: Fingerprint) {
     for _ in 0..WRITE_ATTEMPTS {
-        match write_hold(&shared, request, hold).await {
-            Ok(()) => return,
+        let revision = shared.store_cache.borrow().revision(&hold_key(request));
+        match write_hold(&shared, request, revision).await {
+            // Another host may have written the hold.
+            Ok(_) => return,
             Err(fault) => {
                 log::warn!(target: "crash", "The hold of request {request:016x} is not in the store yet: {fault:?}.");
             }
@@ -189,18 +250,58 @@
     }
 }
 
+/// Writes a hold under a new lease if its key has the revision `expected`, and returns
+/// whether it had.
 async fn write_hold<A: Adapter>(
     shared: &Shared<A>,
     request: Fingerprint,
-    hold: Duration,
-) -> std::result::Result<(), Fault> {
-    let lease = shared.keys.grant(hold).await?;
-    let record = HoldRecord {
-        hold_ms: u64::try_from(hold.as_millis()).unwrap_or(u64::MAX),
+    expected: StoreRevision,
+) -> std::result::Result<bool, Fault> {
+    let state = shared
+        .crash_ledger
+        .borrow()
+        .hold_state(request, Instant::now());
+    let Some(state) = state else {
+        return Ok(false);
     };
-    let value = serde_json::to_vec(&record).map_err(|e| Fault::Unreachable(e.to_string()))?;
-    let key = format!("{HOLD_PREFIX}{request:016x}");
-    shared.hold_leases.borrow_mut().insert(request, lease);
-    shared.keys.write(&key, Bytes::from(value), lease).await?;
-    Ok(())
+    let lease = shared.keys.grant(HOLD_LEASE_TTL).await?;
+    let value = serde_json::to_vec(&HoldRecord::from(state))
+        .map_err(|e| Fault::Unreachable(e.to_string()))?;
+    let key = hold_key(request);
+    let previous = shared.hold_leases.borrow_mut().insert(request, lease);
+    let written = shared
+        .keys
+        .write_if(&key, expected, Bytes::from(value), lease)
+        .await;
+    if written == Ok(false) {
+        // The key is still attached to the lease of an earlier write, of this host or another.
+        let mut hold_leases = shared.hold_leases.borrow_mut();
+        match previous {
+            Some(previous) => hold_leases.insert(request, previous),
+            None => hold_leases.remove(&request),
+        };
+    }
+    written
+}
+
+/// Writes the holds of requests that this host owns anew before the store drops them.
+/// A host that has become the owner thus takes them over.
+pub(crate) async fn keep_holds<A: Adapter>(shared: Rc<Shared<A>>) {
+    loop {
+        sleep(RENEW_PAUSE).await;
+        let held = shared.crash_ledger.borrow().held(Instant::now());
+        shared
+            .hold_leases
+            .borrow_mut()
+            .retain(|request, _| held.contains(request));
+        for request in held {
+            if !is_owner(&shared, request) {
+                continue;
+            }
+            let revision = shared.store_cache.borrow().revision(&hold_key(request));
+            if let Err(fault) = write_hold(&shared, request, revision).await {
+                log::warn!(target: "crash", "The hold of request {request:016x} was not renewed: {fault:?}.");
+            }
+        }
+    }
 }
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -115,7 +115,7 @@
     let deadline = started_at + time_left;
     let body = read_body(body, &table, deadline).await?;
     let fingerprint = exchange::fingerprint(&head, &body);
-    let admission = crashes::admit(shared, fingerprint)?;
+    let admission = crashes::admit(shared, fingerprint).await?;
     let outgoing = Rc::new(OutgoingRequest {
         fingerprint,
         head,
--- a/crates/process/gateway/src/store_cache.rs
+++ b/crates/process/gateway/src/store_cache.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// Returns the revision of a key, or 0 if it is not cached.
+    pub(crate) fn revision(&self, key: &str) -> StoreRevision {
+        self.values.get(key).map_or(0, |cached| cached.revision)
+    }
+
     /// Returns whether an event of the store is newer than what is cached.
     pub(crate) fn is_news(&self, event: &KeyEvent) -> bool {
         let cached = self.values.get(event.key());
--- a/crates/process/store/src/keys.rs
+++ b/crates/process/store/src/keys.rs
@@ -131,6 +131,23 @@
         lease: LeaseId,
     ) -> impl Future<Output = Result<bool, Fault>>;
 
+    /// Writes a key if its revision is `expected`, or if it does not exist and
+    /// `expected` is 0; the store removes it when `lease` ends.
+    ///
+    /// Returns `false` and writes nothing if the key has another revision or the lease
+    /// has already ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] if the store does not answer.
+    fn write_if(
+        &self,
+        key: &str,
+        expected: StoreRevision,
+        bytes: Bytes,
+        lease: LeaseId,
+    ) -> impl Future<Output = Result<bool, Fault>>;
+
     /// Grants a lease that ends after `ttl` unless it is renewed.
     ///
     /// # Errors
