Give each step of a change its part of the promised time

When the host that reads the store was cut off from it, the others found out after up to 2.65 s, and up to 63 of 300 then read the store themselves.

Cause: waits that were sound one by one. A host waited 0.5 s for changes however old its data was by then, gave up other sources after the first failure once the data was too old, and all hosts reached the same limit at once. The limits were constants beside the platform's figures.

Change: fleet::ChangeBudget divides the smaller of drainMs and configApplyMs, which the settings now give, into four steps. No wait exceeds the time until the own data is too old; after that, the other sources together have 0.4 s. Hosts higher in the tree look for newer data 0.1 s sooner than those below them.

--- a/crates/process/fleet/src/lib.rs
+++ b/crates/process/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! defined here too.
 
 mod budget;
+mod change_budget;
 mod exchange;
 mod fact;
 mod head_watch;
@@ -24,6 +25,7 @@
 
 pub use crate::{
     budget::{Budget, Purpose, SEND_BURST_BYTES, SEND_BYTES_PER_S, STARTUP_BYTES, STARTUP_TIME},
+    change_budget::{ChangeBudget, SourceRequest, MAX_CHANGES_WAIT},
     exchange::{message_bytes, Exchange, ExchangeChanges, OutgoingExchange, ROUND_PAUSE},
     fact::{Fact, FactKey, Facts, MAX_FACTS, MAX_FACT_AGE, MAX_FACT_BYTES},
     head_watch::{
--- a/crates/process/fleet/src/reader.rs
+++ b/crates/process/fleet/src/reader.rs
@@ -12,7 +12,7 @@
 //! has no other to ask reads the store itself.
 
 use {
-    crate::{relay_set, Member},
+    crate::{relay_set, ChangeBudget, Member},
     record::RegionId,
     std::{collections::BTreeMap, time::Duration},
 };
@@ -31,10 +31,11 @@
 /// Additional time for each host that precedes it in the order, so that one
 /// host takes over rather than all of them at once.
 const STALENESS_LIMIT_STEP: Duration = Duration::from_millis(350);
-/// Upper bound of the maximum staleness. A draining server keeps serving for at least 3 s after the
-/// store records the drain, and hosts must learn of it within that time, which includes a source
-/// that does not answer and the reading of the store.
-const MAX_STALENESS_LIMIT: Duration = Duration::from_millis(2_200);
+/// Time by which a host accepts older data than the one above it in the tree, so that
+/// the one above finds newer data first and passes it on.
+const STALENESS_LIMIT_STEP_BELOW: Duration = Duration::from_millis(100);
+/// Levels below the first host of a region that differ in this way.
+const STAGGERED_LEVELS: u32 = 3;
 
 /// Upper bound of the time for which a starting host waits for others.
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(2_700);
@@ -81,12 +82,17 @@
         Self { regions }
     }
 
-    /// Returns how `own` obtains the state of the store.
+    /// Returns how `own` obtains the state of the store within `budget`.
     ///
     /// The first host of all asks no other host. A host that cannot use the
     /// store, `is_store_unavailable`, also asks the hosts that follow it in the
     /// order.
-    pub fn source(&self, own: &Member, is_store_unavailable: bool) -> StoreSource<'_> {
+    pub fn source(
+        &self,
+        own: &Member,
+        is_store_unavailable: bool,
+        budget: ChangeBudget,
+    ) -> StoreSource<'_> {
         let local = self.regions.iter().position(|members| {
             let first = members.first();
             first.is_some_and(|first| first.region == own.region)
@@ -102,8 +108,13 @@
             _ => None,
         };
         // A host that is not listed yet is placed behind all others.
-        let ancestors = ancestors(position.unwrap_or(order.len()));
-        let ancestors = ancestors.filter_map(|position| order.get(position));
+        let position = position.unwrap_or(order.len());
+        let level = u32::try_from(ancestors(position).count()).unwrap_or(u32::MAX);
+        let levels_below = STAGGERED_LEVELS.saturating_sub(level.max(1));
+        let max_staleness = budget
+            .max_staleness()
+            .saturating_sub(STALENESS_LIMIT_STEP_BELOW * levels_below);
+        let ancestors = ancestors(position).filter_map(|position| order.get(position));
         let nearby = order.iter().take(LOCAL_CANDIDATES);
         let nearby = nearby.take_while(|member| is_store_unavailable || member.id != own.id);
         let remote = self.regions.iter().filter_map(|members| members.first());
@@ -112,7 +123,7 @@
             .filter(|member| member.region != own.region);
         StoreSource {
             candidates: deduplicate_without(&own.id, ancestors.chain(nearby).chain(remote)),
-            max_staleness: takeover_time(rank).min(MAX_STALENESS_LIMIT),
+            max_staleness: takeover_time(rank).min(max_staleness),
             startup_wait: takeover_time(rank).min(MAX_STARTUP_WAIT),
         }
     }
--- a/crates/process/fleet/tests/reader.rs
+++ b/crates/process/fleet/tests/reader.rs
@@ -1,10 +1,17 @@
 //! Tests of the selection of the hosts that read the store and those that ask them.
 
 use {
-    fleet::{Member, SourceTree, FAN_OUT},
+    fleet::{ChangeBudget, Member, SourceTree, FAN_OUT},
     std::{collections::HashMap, time::Duration},
 };
 
+/// The platform's shortest time within which hosts obey a change.
+const PROMISED: Duration = Duration::from_secs(3);
+
+fn budget() -> ChangeBudget {
+    ChangeBudget::new(PROMISED)
+}
+
 fn member(id: &str, region: &str) -> Member {
     Member {
         id: id.to_owned(),
@@ -26,7 +33,7 @@
         let members = fleet(regions, hosts);
         let tree = SourceTree::new(&members, &[]);
         let candidates = |own: &Member| -> Vec<String> {
-            let candidates = tree.source(own, false).candidates;
+            let candidates = tree.source(own, false, budget()).candidates;
             candidates
                 .into_iter()
                 .map(|member| member.id.clone())
@@ -55,7 +62,7 @@
     let tree = SourceTree::new(&members, &[]);
     for own in &members {
         for is_store_unavailable in [false, true] {
-            let candidates = tree.source(own, is_store_unavailable).candidates;
+            let candidates = tree.source(own, is_store_unavailable, budget()).candidates;
             assert!(candidates.iter().all(|member| member.id != own.id));
             let first_remote = candidates
                 .iter()
@@ -68,7 +75,11 @@
                 .is_none_or(|(remote, local)| local < remote));
         }
         // Even the first reader has hosts to ask when the store is unavailable to it.
-        assert!(tree.source(own, true).candidates.len() >= 4, "{}", own.id);
+        assert!(
+            tree.source(own, true, budget()).candidates.len() >= 4,
+            "{}",
+            own.id
+        );
     }
 }
 
@@ -77,11 +88,14 @@
     let members = fleet(3, 4);
     let non_reader = member("non-reader", "r1");
     let tree = SourceTree::new(&members, &[]);
-    let candidates = tree.source(&non_reader, false).candidates;
+    let candidates = tree.source(&non_reader, false, budget()).candidates;
     assert!(candidates[..3].iter().all(|member| member.region == "r1"));
     assert_eq!(candidates.len(), 5);
     let empty = SourceTree::new(&[], &[]);
-    assert!(empty.source(&non_reader, false).candidates.is_empty());
+    assert!(empty
+        .source(&non_reader, false, budget())
+        .candidates
+        .is_empty());
 }
 
 #[test]
@@ -90,7 +104,7 @@
     let tree = SourceTree::new(&members, &[]);
     let mut max_staleness: Vec<Duration> = members
         .iter()
-        .map(|own| tree.source(own, false).max_staleness)
+        .map(|own| tree.source(own, false, budget()).max_staleness)
         .collect();
     max_staleness.sort_unstable();
     assert!(max_staleness
@@ -113,7 +127,7 @@
     let first: HashMap<String, String> = members
         .iter()
         .filter_map(|own| {
-            let source = tree.source(own, false);
+            let source = tree.source(own, false, budget());
             Some((own.id.clone(), source.candidates.first()?.id.clone()))
         })
         .collect();
@@ -162,7 +176,7 @@
     let members = fleet(3, 100);
     let tree = SourceTree::new(&members, &[]);
     for own in &members {
-        let candidates = tree.source(own, false).candidates;
+        let candidates = tree.source(own, false, budget()).candidates;
         let Some(lost) = candidates.first() else {
             continue;
         };
--- a/crates/process/gateway/src/settings.rs
+++ b/crates/process/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     anyhow::{ensure, Context, Error, Result},
-    fleet::Member,
+    fleet::{ChangeBudget, Member},
     record::{RegionId, ZoneId},
     replica::Locality,
     scatter::Allowance,
@@ -16,6 +16,8 @@
 const DRAIN_SHARE: f64 = 0.85;
 /// Time for which a leaving server serves if the settings name none.
 const DEFAULT_SERVER_DRAIN: Duration = Duration::from_secs(3);
+/// Time within which a configuration is in force if the settings name none.
+const DEFAULT_CONFIG_APPLY: Duration = Duration::from_secs(3);
 
 /// Settings as read by an adapter, not yet validated.
 #[derive(Clone, Debug, Default)]
@@ -47,6 +49,9 @@
     /// Time for which a leaving server serves after the store has recorded that it
     /// leaves, in milliseconds; `None` if it is not known.
     pub server_drain_ms: Option<u64>,
+    /// Time within which a configuration is in force on all hosts, in milliseconds;
+    /// `None` if it is not known.
+    pub config_apply_ms: Option<u64>,
     /// Share of a core that is available to the host.
     pub cpu_share: f64,
     /// Whether all hosts start together for the first time.
@@ -74,6 +79,8 @@
     pub allowance: Allowance,
     /// Time for which a leaving server serves after the store has recorded that it leaves.
     pub server_drain: Duration,
+    /// Time within which hosts obey a change of the store, as they find it out.
+    pub change_budget: ChangeBudget,
     /// Share of a core that is available to the host, in thousandths.
     pub cpu_millis: u32,
     /// Whether all hosts start together for the first time.
@@ -109,6 +116,12 @@
             "the share of a core, {}, is not a finite number above 0",
             raw.cpu_share
         );
+        let server_drain = raw
+            .server_drain_ms
+            .map_or(DEFAULT_SERVER_DRAIN, Duration::from_millis);
+        let config_apply = raw
+            .config_apply_ms
+            .map_or(DEFAULT_CONFIG_APPLY, Duration::from_millis);
         let shutdown = Duration::from_millis(raw.shutdown_timeout_ms);
         let max_drain = shutdown.mul_f64(DRAIN_SHARE);
         let region = raw.regions.get(&raw.zone).cloned();
@@ -144,9 +157,8 @@
                 ratio: raw.retry_ratio,
                 slack: raw.retry_slack,
             },
-            server_drain: raw
-                .server_drain_ms
-                .map_or(DEFAULT_SERVER_DRAIN, Duration::from_millis),
+            server_drain,
+            change_budget: ChangeBudget::new(server_drain.min(config_apply)),
             cpu_millis: (raw.cpu_share * 1_000.0) as u32,
             is_new_fleet: raw.is_new_fleet,
             balancer_lag: BALANCER_LAG.min(max_drain / 2),
--- a/crates/process/gateway/src/store_sync.rs
+++ b/crates/process/gateway/src/store_sync.rs
@@ -13,7 +13,7 @@
         store_retry::StoreRetry,
         store_watch, Adapter,
     },
-    fleet::{Member, SourceTree},
+    fleet::{ChangeBudget, Member, SourceRequest, SourceTree, MAX_CHANGES_WAIT},
     kind::{Error, Kind, Result},
     record::HostId,
     std::{
@@ -30,10 +30,6 @@
     },
 };
 
-/// Longest time for which a host holds a peer's request open to wait for changes.
-const MAX_CHANGES_WAIT: Duration = Duration::from_millis(500);
-/// Time beyond that for the round trip to a peer of another region.
-const ROUND_TRIP_SLACK: Duration = Duration::from_millis(400);
 /// Time for which a peer is not asked after a failed or outdated answer.
 const FAILED_PEER_PAUSE: Duration = Duration::from_secs(3);
 /// Number of peers that a starting host asks before it reads the store.
@@ -122,6 +118,7 @@
         &mut self,
         own: &Member,
         tree: &SourceTree,
+        budget: ChangeBudget,
         now: Instant,
     ) -> (Vec<Member>, Duration) {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < FAILED_PEER_PAUSE;
@@ -129,7 +126,7 @@
         let is_cut_off = self
             .store_fault_at
             .is_some_and(|at| now.saturating_duration_since(at) < STORE_FAULT_MEMORY);
-        let source = tree.source(own, is_cut_off);
+        let source = tree.source(own, is_cut_off, budget);
         let candidates = source.candidates.into_iter();
         let healthy = candidates.filter(|member| !self.failed_at.contains_key(&member.id));
         (healthy.cloned().collect(), source.max_staleness)
@@ -181,10 +178,15 @@
 /// Gets all keys from a seed, in case the store does not answer soon.
 async fn sync_from_seeds<A: Adapter>(shared: &Shared<A>, sources: &mut PeerSources) {
     let own = shared.settings.member.peer_addr;
+    // A seed that is starting as well waits until it has data.
+    let request = SourceRequest {
+        wait: MAX_CHANGES_WAIT,
+        timeout: MAX_CHANGES_WAIT + ChangeBudget::SEARCH_TIME,
+    };
     loop {
         sleep(SEED_PAUSE).await;
         for seed in shared.settings.seeds.iter().filter(|seed| **seed != own) {
-            match require_sync_from(shared, sources, *seed, MAX_SEED_AGE).await {
+            match require_sync_from(shared, sources, *seed, MAX_SEED_AGE, request).await {
                 Ok(()) => {
                     log::info!(target: "fleet", "The store does not answer; the host at {seed} told what stands there.");
                     return;
@@ -232,7 +234,7 @@
 async fn sync_at_startup<A: Adapter>(shared: &Shared<A>, sources: &mut PeerSources) {
     let own = &shared.settings.member;
     let tree = shared.members.borrow_mut().sources();
-    let source = tree.source(own, false);
+    let source = tree.source(own, false, shared.settings.change_budget);
     let until = Instant::now() + source.startup_wait;
     let in_region = source
         .candidates
@@ -241,7 +243,11 @@
     for peer in in_region.take(MAX_STARTUP_PEERS) {
         while Instant::now() < until {
             let max_age = source.max_staleness;
-            let sync = sync_from(shared, sources, peer.peer_addr, max_age, MAX_CHANGES_WAIT);
+            let request = SourceRequest {
+                wait: MAX_CHANGES_WAIT,
+                timeout: MAX_CHANGES_WAIT + ChangeBudget::SEARCH_TIME,
+            };
+            let sync = sync_from(shared, sources, peer.peer_addr, max_age, request);
             match timeout_at(until.into(), sync).await {
                 Ok(Ok(PeerData::Applied)) => return,
                 Ok(Ok(PeerData::None)) => sleep(STARTUP_RETRY_PAUSE).await,
@@ -257,7 +263,8 @@
         sleep(PEER_CHECK_PAUSE).await;
         let tree = shared.members.borrow_mut().sources();
         let own = &shared.settings.member;
-        let (candidates, _) = sources.candidates(own, &tree, Instant::now());
+        let budget = shared.settings.change_budget;
+        let (candidates, _) = sources.candidates(own, &tree, budget, Instant::now());
         if !candidates.is_empty() {
             return;
         }
@@ -267,24 +274,27 @@
 /// Gets the changes from the first candidate that has recent data; returns
 /// whether there was one.
 ///
-/// Stops at a failure once the own data has reached its permitted staleness, so
-/// that hosts that do not answer do not keep this one from reading the store.
+/// Stops when [`ChangeBudget::next_request`] says so: hosts that do not answer must
+/// not keep this one from reading the store.
 async fn sync_from_peers<A: Adapter>(shared: &Shared<A>, sources: &mut PeerSources) -> bool {
     let tree = shared.members.borrow_mut().sources();
     let own = &shared.settings.member;
-    let (candidates, max_age) = sources.candidates(own, &tree, Instant::now());
-    for peer in candidates {
-        match require_sync_from(shared, sources, peer.peer_addr, max_age).await {
+    let budget = shared.settings.change_budget;
+    let (candidates, max_age) = sources.candidates(own, &tree, budget, Instant::now());
+    for (asked, peer) in candidates.into_iter().enumerate() {
+        // A peer that was not asked last sends all keys at once, if it has any.
+        let may_wait = sources.current == Some(peer.peer_addr) || !shared.has_store_state();
+        let age = shared.store_cache.borrow().age(Instant::now());
+        let Some(request) = ChangeBudget::next_request(max_age, asked, may_wait, age) else {
+            return false;
+        };
+        match require_sync_from(shared, sources, peer.peer_addr, max_age, request).await {
             Ok(()) => return true,
             Err(error) => {
                 log::info!(target: "fleet", "Host {} is not asked for a while: {error}.", peer.id);
                 sources.failed_at.insert(peer.id, Instant::now());
             }
         }
-        let age = shared.store_cache.borrow().age(Instant::now());
-        if age.is_some_and(|age| age >= max_age) {
-            return false;
-        }
     }
     false
 }
@@ -299,8 +309,8 @@
     None,
 }
 
-/// Gets the changes from one peer, which waits for some up to `wait`, and applies
-/// them unless they are older than `max_age`.
+/// Gets the changes from one peer and applies them unless they are older than
+/// `max_age`.
 ///
 /// # Errors
 ///
@@ -311,7 +321,7 @@
     sources: &mut PeerSources,
     peer_addr: SocketAddr,
     max_age: Duration,
-    wait: Duration,
+    SourceRequest { wait, timeout }: SourceRequest,
 ) -> Result<PeerData> {
     let request = ChangesRequest {
         protocol_version: PROTOCOL_VERSION,
@@ -319,7 +329,7 @@
         after: sources.after,
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
     };
-    let deadline = Instant::now() + wait + ROUND_TRIP_SLACK;
+    let deadline = Instant::now() + timeout;
     let fetch = peer::fetch_changes(shared, peer_addr, request, deadline);
     let reply = timeout_at(deadline.into(), fetch).await;
     let reply = reply.map_err(|_| {
@@ -354,15 +364,9 @@
     sources: &mut PeerSources,
     peer_addr: SocketAddr,
     max_age: Duration,
+    request: SourceRequest,
 ) -> Result<()> {
-    // A peer that was not asked last sends all keys at once, if it has any.
-    let may_wait = sources.current == Some(peer_addr) || !shared.has_store_state();
-    let wait = if may_wait {
-        MAX_CHANGES_WAIT
-    } else {
-        Duration::ZERO
-    };
-    let detail = match sync_from(shared, sources, peer_addr, max_age, wait).await? {
+    let detail = match sync_from(shared, sources, peer_addr, max_age, request).await? {
         PeerData::Applied => return Ok(()),
         PeerData::Outdated(age) => format!("its data is {} ms old", age.as_millis()),
         PeerData::None => "it has no data yet".to_owned(),
