Receive signals before the settings are read

A SIGHUP during the start of a host ended the process (suspected by the review).

Cause: the handlers were set once the host served, so that until then a signal had its default effect.

Change: a host begins to receive SIGHUP, SIGTERM and SIGINT before it reads its settings; what comes meanwhile is handled once it serves.

--- a/crates/bin/wharf/src/hosted.rs
+++ b/crates/bin/wharf/src/hosted.rs
@@ -1,7 +1,7 @@
 //! Runs a host that the users' platform starts.
 
 use {
-    crate::shutdown_signal,
+    crate::ShutdownSignals,
     anyhow::{Context, Result},
     clap::{value_parser, Arg, ArgAction, Command},
     gateway::{RawSettings, RunningGateway, Settings},
@@ -10,7 +10,7 @@
     tokio::{
         runtime::Builder,
         select,
-        signal::unix::{signal, SignalKind},
+        signal::unix::{signal, Signal, SignalKind},
         task::LocalSet,
         time::sleep,
     },
@@ -29,6 +29,13 @@
 ///
 /// Returns an error if the settings are not valid or an address cannot be bound.
 pub(crate) fn run(path: &Path) -> Result<()> {
+    // Single-threaded, because a host has only a fraction of a core.
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    // A signal that comes while the host starts must not end the process.
+    let signals = {
+        let _context = runtime.enter();
+        Signals::new()?
+    };
     let matches = command().get_matches();
     let metrics_port = matches.get_one("metrics-port").copied();
     let settings = load_settings(path, metrics_port)?;
@@ -37,9 +44,7 @@
     }
     let levels: &String = matches.get_one("log-levels").context("--log-levels")?;
     let _logs = meter::start_json_logs(levels)?;
-    // Single-threaded, because a host has only a fraction of a core.
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(settings, path, metrics_port))
+    LocalSet::new().block_on(&runtime, serve(settings, path, metrics_port, signals))
 }
 
 /// Loads and validates the settings; `metrics_port` overrides the file.
@@ -83,12 +88,37 @@
         )
 }
 
-async fn serve(settings: Settings, path: &Path, metrics_port: Option<u16>) -> Result<()> {
+/// Signals that the platform sends to a host.
+struct Signals {
+    shutdown: ShutdownSignals,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Begins to receive the signals. Must run in the context of a runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a handler cannot be set.
+    fn new() -> Result<Self> {
+        Ok(Self {
+            shutdown: ShutdownSignals::new()?,
+            hangup: signal(SignalKind::hangup()).context("SIGHUP")?,
+        })
+    }
+}
+
+async fn serve(
+    settings: Settings,
+    path: &Path,
+    metrics_port: Option<u16>,
+    mut signals: Signals,
+) -> Result<()> {
     let store = KvClient::new(settings.store_addr);
     let host = gateway::run::<Platform>(settings, store).await?;
     select! {
-        result = shutdown_signal() => result?,
-        result = watch_settings(path, metrics_port, &host) => result?,
+        () = signals.shutdown.recv() => {}
+        () = watch_settings(path, metrics_port, &host, &mut signals.hangup) => {}
     }
     host.shut_down().await;
     Ok(())
@@ -99,8 +129,8 @@
     path: &Path,
     metrics_port: Option<u16>,
     host: &RunningGateway<Platform>,
-) -> Result<()> {
-    let mut hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
+    hangup: &mut Signal,
+) {
     let mut last_contents = fs::read(path).ok();
     loop {
         let is_signalled = select! {
--- a/crates/bin/wharf/src/main.rs
+++ b/crates/bin/wharf/src/main.rs
@@ -11,7 +11,7 @@
     host::Settings,
     tokio::{
         runtime, select,
-        signal::unix::{signal, SignalKind},
+        signal::unix::{signal, Signal, SignalKind},
     },
 };
 
@@ -24,23 +24,41 @@
 
 /// Runs a host that is configured by flags until it receives a shutdown signal.
 async fn run_standalone() -> Result<()> {
+    let mut signals = ShutdownSignals::new()?;
     let flags = flags::parse()?;
     let _logs = meter::start_logs(&flags.log_level, flags.log_format)?;
     let settings = Settings::try_from(flags.settings)?;
     let host = host::run(settings).await?;
-    shutdown_signal().await?;
+    signals.recv().await;
     host.shut_down().await;
     log::info!(target: "host", "Stopped.");
     Ok(())
 }
 
-/// Waits for SIGTERM or SIGINT.
-async fn shutdown_signal() -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
-    select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that shut a host down.
+struct ShutdownSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl ShutdownSignals {
+    /// Begins to receive the signals. Must run in the context of a runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a handler cannot be set.
+    fn new() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).context("SIGTERM")?,
+            interrupt: signal(SignalKind::interrupt()).context("SIGINT")?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    async fn recv(&mut self) {
+        select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
