--- a/crates/process/gateway/src/exchange.rs
+++ b/crates/process/gateway/src/exchange.rs
@@ -10,7 +10,7 @@
     bytes::{Bytes, BytesMut},
     http::{header, request, Request, StatusCode, Uri, Version},
     http_body_util::{BodyExt, Full},
-    hyper::body::Incoming,
+    hyper::{body::Incoming, ext::on_informational},
     kind::Ran,
     link::{CheckedOutConnection, Evidence, Fingerprint, Refusal as RefusalEvidence},
     plan::{LeafFault, Reason, Refusal},
@@ -18,8 +18,13 @@
     scatter::Failure,
     std::{
         cell::Cell,
+        sync::{
+            atomic::{AtomicUsize, Ordering},
+            Arc,
+        },
         time::{Duration, Instant},
     },
+    tokio::{select, sync::Notify},
 };
 
 /// Maximum size of a reply body in bytes. Bounds the memory used by one call.
@@ -36,6 +41,9 @@
 const MAX_REUSE_BODY_BYTES: usize = 8 * 1_024;
 /// A call is not sent with less time than this before the deadline.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(2);
+/// Number of interim responses to a request after which its connection is closed. A
+/// server that sends them without end would occupy the processor until the deadline.
+const MAX_INTERIM_RESPONSES: usize = 16;
 /// Number of stale connections, closed by the server, after which a call fails.
 const MAX_STALE_CONNECTIONS: usize = 3;
 
@@ -216,8 +224,19 @@
             Evidence::Inconclusive,
         ));
     }
-    let request = outgoing.request::<A>(id, time_left);
-    let response = match connection.try_send_request(request).await {
+    let mut request = outgoing.request::<A>(id, time_left);
+    let interim_limit = InterimLimit::attach(&mut request);
+    let sent = select! {
+        sent = connection.try_send_request(request) => sent,
+        () = interim_limit.exceeded() => {
+            return Some(failed_exchange(
+                LeafFault::Malformed,
+                Reason::Mismatch,
+                Evidence::ConnectionLost,
+            ));
+        }
+    };
+    let response = match sent {
         Ok(response) => response,
         Err(error) if error.message().is_some() && is_reused => return None,
         Err(error) => {
@@ -259,6 +278,31 @@
     Some(class.into_result(reply, latency))
 }
 
+/// Counts the interim responses to a request.
+#[derive(Default)]
+struct InterimLimit {
+    count: AtomicUsize,
+    exceeded: Notify,
+}
+
+impl InterimLimit {
+    fn attach<B>(request: &mut Request<B>) -> Arc<Self> {
+        let limit = Arc::new(Self::default());
+        let counted = Arc::clone(&limit);
+        on_informational(request, move |_| {
+            if counted.count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+                counted.exceeded.notify_one();
+            }
+        });
+        limit
+    }
+
+    /// Waits until there are more than [`MAX_INTERIM_RESPONSES`].
+    async fn exceeded(&self) {
+        self.exceeded.notified().await;
+    }
+}
+
 fn failed_exchange(fault: LeafFault, reason: Reason, evidence: Evidence) -> ExchangeResult {
     let ran = plan::LeafFailure::from(fault).ran;
     let failure = Failure {
