Do not take garbled answers for servers that a request has ended

A harmless request that three faulty servers had answered with bytes that are no answer was held back on all hosts.

Cause: an answer that cannot be parsed ends the call like a connection that is lost, and the loss of a connection under a request counts as the end of a server.

Change: a call with such an answer has failed as malformed; it may have run, as before, and does not count against the request.

--- a/crates/process/gateway/src/exchange.rs
+++ b/crates/process/gateway/src/exchange.rs
@@ -240,16 +240,15 @@
         Ok(response) => response,
         Err(error) if error.message().is_some() && is_reused => return None,
         Err(error) => {
-            let fault = if error.message().is_some() {
-                LeafFault::NotWritten
+            let (fault, reason) = if error.message().is_some() {
+                (LeafFault::NotWritten, Reason::Lost)
+            } else if error.error().is_parse() {
+                // The server runs on; it has sent bytes that are no answer.
+                (LeafFault::Malformed, Reason::Mismatch)
             } else {
-                LeafFault::LostAfterWrite
+                (LeafFault::LostAfterWrite, Reason::Lost)
             };
-            return Some(failed_exchange(
-                fault,
-                Reason::Lost,
-                Evidence::ConnectionLost,
-            ));
+            return Some(failed_exchange(fault, reason, Evidence::ConnectionLost));
         }
     };
     let (head, body) = response.into_parts();
