Take back canaries that no server has run

Change: a canary that has not run is taken back in the store, unless the key has changed, and tried again after five seconds. A hold that has ended no longer keeps its request from being held back again by an owner that no such request reaches.

Evidence: new tests of the ledger; the tests of the platform over hosts pass.

--- a/crates/connection/link/src/crash_ledger.rs
+++ b/crates/connection/link/src/crash_ledger.rs
@@ -32,6 +32,8 @@
     Duration::from_secs(30),
     Duration::from_secs(600),
 ];
+/// Time until the next canary after one that no server has run.
+const UNUSED_CANARY_PAUSE: Duration = Duration::from_secs(5);
 /// Shortest time that callers of a request that is held back are told to wait.
 const MIN_WAIT: Duration = Duration::from_secs(1);
 /// Largest number of requests about which crashes are remembered, and of those that
@@ -72,13 +74,16 @@
     since: Instant,
     until: Instant,
     canaries: usize,
+    /// Time before which no further canary runs.
+    paused_until: Instant,
 }
 
 impl Hold {
     /// Returns the time from which the next canary may run, or at which the hold ends.
     fn next_run_at(&self) -> Instant {
         let canary_time = CANARY_TIMES.get(self.canaries);
-        canary_time.map_or(self.until, |time| (self.since + *time).min(self.until))
+        let next_at = canary_time.map(|time| (self.since + *time).max(self.paused_until));
+        next_at.map_or(self.until, |at| at.min(self.until))
     }
 }
 
@@ -121,7 +126,7 @@
         server: &str,
         now: Instant,
     ) -> Option<HoldState> {
-        if self.known_good.contains(request) || self.holds.contains_key(&request) {
+        if self.known_good.contains(request) || self.is_held(request, now) {
             return None;
         }
         self.make_room(now);
@@ -147,7 +152,8 @@
     /// Holds a request back. If it already is, only canaries that other hosts have
     /// counted are added.
     pub fn hold(&mut self, request: Fingerprint, state: HoldState, now: Instant) {
-        if let Some(hold) = self.holds.get_mut(&request) {
+        let known = self.holds.get_mut(&request);
+        if let Some(hold) = known.filter(|hold| now < hold.until) {
             hold.canaries = hold.canaries.max(state.canaries);
             return;
         }
@@ -156,10 +162,16 @@
             since: now,
             until: now + state.left.min(HOLD_TIME),
             canaries: state.canaries,
+            paused_until: now,
         };
         self.holds.insert(request, hold);
     }
 
+    fn is_held(&self, request: Fingerprint, now: Instant) -> bool {
+        let hold = self.holds.get(&request);
+        hold.is_some_and(|hold| now < hold.until)
+    }
+
     /// Returns what to tell other hosts of a request that is held back.
     pub fn hold_state(&self, request: Fingerprint, now: Instant) -> Option<HoldState> {
         let hold = self.holds.get(&request)?;
@@ -210,6 +222,26 @@
         Admission::Held(wait.max(MIN_WAIT))
     }
 
+    /// Records what all hosts know of a request that is held back.
+    pub fn on_record(&mut self, request: Fingerprint, state: HoldState, now: Instant) {
+        self.hold(request, state, now);
+        if let Some(hold) = self.holds.get_mut(&request) {
+            hold.canaries = state.canaries;
+        }
+    }
+
+    /// Records that no server has run a canary, and returns what to tell other hosts
+    /// so that it does not count.
+    pub fn on_canary_not_run(&mut self, request: Fingerprint, now: Instant) -> Option<HoldState> {
+        let hold = self.holds.get_mut(&request)?;
+        hold.paused_until = now + UNUSED_CANARY_PAUSE;
+        let state = self.hold_state(request, now)?;
+        Some(HoldState {
+            canaries: state.canaries.saturating_sub(1),
+            ..state
+        })
+    }
+
     /// Makes room for another hold: drops those that have ended, else the oldest.
     fn make_room_for_hold(&mut self, now: Instant) {
         if self.holds.len() < MAX_SUSPECTS {
--- a/crates/connection/link/tests/crash_ledger.rs
+++ b/crates/connection/link/tests/crash_ledger.rs
@@ -53,6 +53,13 @@
     assert_eq!(ledger.admit(REQUEST, || true, later), Admission::Run);
 }
 
+#[test]
+fn a_request_runs_everywhere_once_its_hold_has_ended() {
+    let (mut ledger, now) = (CrashLedger::default(), Instant::now());
+    crash(&mut ledger, &["a", "b", "c"], now).unwrap();
+    assert_eq!(ledger.admit(REQUEST, || false, now + DAY), Admission::Run);
+}
+
 /// Sends the request every 100 ms for two minutes and then every minute for a day, to
 /// the owner and another host in turn. Returns the times of its canaries.
 fn canary_times(ledger: &mut CrashLedger, since: Instant) -> Vec<Duration> {
@@ -111,7 +118,7 @@
 }
 
 #[test]
-fn callers_are_told_when_a_request_may_run_again_and_it_is_harmless_after_a_day() {
+fn callers_are_told_when_a_request_may_run_again_and_it_counts_anew_after_a_day() {
     let (mut ledger, now) = (CrashLedger::default(), Instant::now());
     crash(&mut ledger, &["a", "b", "c"], now).unwrap();
     let mut at = now;
@@ -122,7 +129,28 @@
         assert_eq!(ledger.admit(REQUEST, || true, at), Admission::Canary);
     }
     assert_eq!(ledger.held_for(REQUEST, at), Some(now + DAY - at));
-    assert_eq!(ledger.admit(REQUEST, || false, now + DAY), Admission::Run);
+    // It may also be held back again then, without having come to this host.
+    assert!(crash(&mut ledger, &["d", "e", "f"], now + DAY).is_some());
+    let again = ledger.held_for(REQUEST, now + DAY);
+    assert_eq!(again, Some(Duration::from_secs(1)));
+}
+
+// Guards against a harmless request that is held back for a day because its canaries
+// were refused by full servers.
+#[test]
+fn a_canary_that_no_server_has_run_is_tried_again_after_a_pause() {
+    let (mut ledger, now) = (CrashLedger::default(), Instant::now());
+    crash(&mut ledger, &["a", "b", "c"], now).unwrap();
+    let mut at = now + Duration::from_secs(1);
+    for _ in 0..20 {
+        assert_eq!(ledger.admit(REQUEST, || true, at), Admission::Canary);
+        let state = ledger.on_canary_not_run(REQUEST, at).unwrap();
+        assert_eq!(state.canaries, 0);
+        ledger.on_record(REQUEST, state, at);
+        let early = ledger.admit(REQUEST, || true, at + Duration::from_secs(4));
+        assert!(matches!(early, Admission::Held(_)), "{early:?}");
+        at += Duration::from_secs(5);
+    }
 }
 
 #[test]
--- a/crates/process/gateway/src/apply.rs
+++ b/crates/process/gateway/src/apply.rs
@@ -194,7 +194,7 @@
         return None;
     };
     let mut crash_ledger = shared.crash_ledger.borrow_mut();
-    crash_ledger.hold(request, record.into(), Instant::now());
+    crash_ledger.on_record(request, record.into(), Instant::now());
     Some(true)
 }
 
--- a/crates/process/gateway/src/crashes.rs
+++ b/crates/process/gateway/src/crashes.rs
@@ -19,7 +19,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    store::{Fault, KeyPrefixStore, StoreRevision},
+    store::{Fault, KeyPrefixStore},
     tokio::{task::spawn_local, time::sleep},
 };
 
@@ -40,6 +40,8 @@
 const HOLD_LEASE_TTL: Duration = Duration::from_secs(600);
 /// Pause between renewals; two may fail before a hold is dropped.
 const RENEW_PAUSE: Duration = Duration::from_secs(180);
+/// Time until this host has learned of its own write that has counted a canary.
+const TAKE_BACK_DELAY: Duration = Duration::from_secs(2);
 /// Time that callers are told to wait if a canary could not be counted.
 const UNCOUNTED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -139,9 +141,7 @@
     let retry_after = match admission {
         Admission::Run => return Ok(admission),
         Admission::Canary => {
-            let revision = shared.store_cache.borrow().revision(&hold_key(request));
-            let is_counted =
-                revision > 0 && write_hold(shared, request, revision).await == Ok(true);
+            let is_counted = count_canary(shared, request).await;
             log::info!(target: "crash", "A canary of request {request:016x} {}.",
                 if is_counted { "runs" } else { "could not be counted and does not run" });
             if is_counted {
@@ -155,10 +155,40 @@
     Err(Error::new(Kind::Held, detail).with_retry_after(retry_after))
 }
 
+/// Counts a canary where all hosts see it, and returns whether it may run.
+async fn count_canary<A: Adapter>(shared: &Shared<A>, request: Fingerprint) -> bool {
+    // A hold that is not in the store yet has no canaries.
+    let is_stored = shared.store_cache.borrow().revision(&hold_key(request)) > 0;
+    match hold_state(shared, request).filter(|_| is_stored) {
+        Some(state) => write_hold(shared, request, state).await == Ok(true),
+        None => false,
+    }
+}
+
+/// Takes back a canary that no server has run.
+pub(crate) async fn on_canary_not_run<A: Adapter>(shared: Rc<Shared<A>>, request: Fingerprint) {
+    sleep(TAKE_BACK_DELAY).await;
+    let state = shared
+        .crash_ledger
+        .borrow_mut()
+        .on_canary_not_run(request, Instant::now());
+    let Some(state) = state else {
+        return;
+    };
+    if write_hold(&shared, request, state).await != Ok(true) {
+        log::info!(target: "crash", "A canary of request {request:016x} did not run and counts all the same.");
+    }
+}
+
 fn is_owner<A: Adapter>(shared: &Shared<A>, request: Fingerprint) -> bool {
     owners(shared, request).first() == Some(&shared.settings.member)
 }
 
+fn hold_state<A: Adapter>(shared: &Shared<A>, request: Fingerprint) -> Option<HoldState> {
+    let crash_ledger = shared.crash_ledger.borrow();
+    crash_ledger.hold_state(request, Instant::now())
+}
+
 fn hold_key(request: Fingerprint) -> String {
     format!("{HOLD_PREFIX}{request:016x}")
 }
@@ -231,8 +261,10 @@
 /// Writes a hold to the store, from where all hosts learn it.
 async fn publish<A: Adapter>(shared: Rc<Shared<A>>, request: Fingerprint) {
     for _ in 0..WRITE_ATTEMPTS {
-        let revision = shared.store_cache.borrow().revision(&hold_key(request));
-        match write_hold(&shared, request, revision).await {
+        let Some(state) = hold_state(&shared, request) else {
+            return;
+        };
+        match write_hold(&shared, request, state).await {
             // Another host may have written the hold.
             Ok(_) => return,
             Err(fault) => {
@@ -240,30 +272,17 @@
             }
         }
         sleep(WRITE_PAUSE).await;
-        let is_held = shared
-            .crash_ledger
-            .borrow()
-            .held_for(request, Instant::now());
-        if is_held.is_none() {
-            return;
-        }
     }
 }
 
-/// Writes a hold under a new lease if its key has the revision `expected`, and returns
-/// whether it had.
+/// Writes a hold under a new lease if its key has not changed since this host learned of
+/// it, and returns whether it has not.
 async fn write_hold<A: Adapter>(
     shared: &Shared<A>,
     request: Fingerprint,
-    expected: StoreRevision,
+    state: HoldState,
 ) -> std::result::Result<bool, Fault> {
-    let state = shared
-        .crash_ledger
-        .borrow()
-        .hold_state(request, Instant::now());
-    let Some(state) = state else {
-        return Ok(false);
-    };
+    let expected = shared.store_cache.borrow().revision(&hold_key(request));
     let lease = shared.keys.grant(HOLD_LEASE_TTL).await?;
     let value = serde_json::to_vec(&HoldRecord::from(state))
         .map_err(|e| Fault::Unreachable(e.to_string()))?;
@@ -298,8 +317,10 @@
             if !is_owner(&shared, request) {
                 continue;
             }
-            let revision = shared.store_cache.borrow().revision(&hold_key(request));
-            if let Err(fault) = write_hold(&shared, request, revision).await {
+            let Some(state) = hold_state(&shared, request) else {
+                continue;
+            };
+            if let Err(fault) = write_hold(&shared, request, state).await {
                 log::warn!(target: "crash", "The hold of request {request:016x} was not renewed: {fault:?}.");
             }
         }
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -135,26 +135,12 @@
             Admission::Run | Admission::Held(_) => route.max_attempts,
         },
     };
-    match &route.target {
-        Target::Service(service) => {
-            context
-                .forward_to_service(service, started_at, summary)
-                .await
-        }
-        Target::Split(parts) => {
-            let service = shared.splits.borrow_mut().next(&route.name, parts);
-            let service = service.ok_or_else(|| {
-                Error::new(
-                    Kind::Internal,
-                    "the traffic split of the route selects no service",
-                )
-            })?;
-            context
-                .forward_to_service(&service, started_at, summary)
-                .await
-        }
-        Target::Shards(set) => context.query_shards(set, started_at, summary).await,
+    let result = context.forward(started_at, summary).await;
+    let has_not_run = matches!(&result, Err(error) if error.ran() == Ran::No);
+    if admission == Admission::Canary && has_not_run {
+        spawn_local(crashes::on_canary_not_run(Rc::clone(shared), fingerprint));
     }
+    result
 }
 
 fn find_route(table: &Table, head: &request::Parts) -> Result<Arc<Route>> {
@@ -251,6 +237,32 @@
 }
 
 impl<A: Adapter> RequestContext<'_, A> {
+    /// Forwards the request to the target of its route.
+    async fn forward(
+        self,
+        started_at: Instant,
+        summary: &mut RequestSummary,
+    ) -> Result<CallerResponse> {
+        match &self.route.target {
+            Target::Service(service) => self.forward_to_service(service, started_at, summary).await,
+            Target::Split(parts) => {
+                let service = self
+                    .shared
+                    .splits
+                    .borrow_mut()
+                    .next(&self.route.name, parts);
+                let service = service.ok_or_else(|| {
+                    Error::new(
+                        Kind::Internal,
+                        "the traffic split of the route selects no service",
+                    )
+                })?;
+                self.forward_to_service(&service, started_at, summary).await
+            }
+            Target::Shards(set) => self.query_shards(set, started_at, summary).await,
+        }
+    }
+
     async fn forward_to_service(
         &self,
         service: &ServiceName,
