--- a/crates/process/gateway/src/connections.rs
+++ b/crates/process/gateway/src/connections.rs
@@ -190,7 +190,12 @@
             CheckoutDecision::BackOff(until) if until >= deadline => {
                 return Err(AcquireError::Busy)
             }
-            CheckoutDecision::BackOff(until) => sleep_until(until.into()).await,
+            CheckoutDecision::BackOff(until) => {
+                select! {
+                    () = shared.servers_changed.notified() => {}
+                    () = sleep_until(until.min(wait_until).into()) => {}
+                }
+            }
         }
     }
 }
