--- a/crates/version/record/tests/examples.rs
+++ b/crates/version/record/tests/examples.rs
@@ -5,7 +5,7 @@
     std::{collections::HashSet, fs, path::PathBuf},
 };
 
-const DEPLOYMENTS: [&str; 2] = ["tallapoosa", "landesamt"];
+const DEPLOYMENTS: [&str; 3] = ["tallapoosa", "landesamt", "local"];
 
 fn records(deployment: &str) -> Vec<Record> {
     let dir = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
