Derive the reader's pace from the promised time

With a promised time below 3 s the permitted age of data fell under the 0.9 s that the reader leaves between two looks at the store, so that all hosts would have turned to the store. The pace and the step between levels now follow from the budget; at 3 s and above both are as they were.

--- a/crates/process/fleet/src/change_budget.rs
+++ b/crates/process/fleet/src/change_budget.rs
@@ -20,6 +20,12 @@
 /// Longest time for which a host holds another's request open to wait for changes.
 pub const MAX_CHANGES_WAIT: Duration = Duration::from_millis(500);
 
+/// Shortest time within which hosts can obey a change, with looks at the store every
+/// tenth of a second.
+const MIN_TOTAL: Duration = Duration::from_millis(1_000);
+/// Longest pause between two looks of the reader at the store.
+const LONGEST_POLL_PAUSE: Duration = Duration::from_millis(900);
+
 /// The time within which all hosts obey a change of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ChangeBudget {
@@ -44,9 +50,12 @@
     /// Time for which a request that was sent before is on its way.
     pub const SEND_TIME: Duration = Duration::from_millis(200);
 
-    /// Creates the budget for changes that are obeyed within `total`.
+    /// Creates the budget for changes that are obeyed within `total`, or within the
+    /// shortest time that hosts can keep if that is longer.
     pub fn new(total: Duration) -> Self {
-        Self { total }
+        Self {
+            total: total.max(MIN_TOTAL),
+        }
     }
 
     /// Returns the greatest age of data that a host accepts from another.
@@ -55,6 +64,12 @@
         self.total.saturating_sub(other_steps)
     }
 
+    /// Returns the pause between two looks of the reader at the store, which is the age
+    /// that its data reaches when nothing fails.
+    pub fn poll_pause(self) -> Duration {
+        LONGEST_POLL_PAUSE.min(self.max_staleness() / 2)
+    }
+
     /// Returns how to ask the next source for newer data, or `None` if it is time to
     /// read the store.
     ///
--- a/crates/process/fleet/src/reader.rs
+++ b/crates/process/fleet/src/reader.rs
@@ -34,6 +34,8 @@
 /// Time by which a host accepts older data than the one above it in the tree, so that
 /// the one above finds newer data first and passes it on.
 const STALENESS_LIMIT_STEP_BELOW: Duration = Duration::from_millis(100);
+/// Number of these steps at least in the largest limit.
+const MIN_STEPS_OF_LIMIT: u32 = 10;
 /// Levels below the first host of a region that differ in this way.
 const STAGGERED_LEVELS: u32 = 3;
 
@@ -111,9 +113,9 @@
         let position = position.unwrap_or(order.len());
         let level = u32::try_from(ancestors(position).count()).unwrap_or(u32::MAX);
         let levels_below = STAGGERED_LEVELS.saturating_sub(level.max(1));
-        let max_staleness = budget
-            .max_staleness()
-            .saturating_sub(STALENESS_LIMIT_STEP_BELOW * levels_below);
+        let largest = budget.max_staleness();
+        let step = STALENESS_LIMIT_STEP_BELOW.min(largest / MIN_STEPS_OF_LIMIT);
+        let max_staleness = largest.saturating_sub(step * levels_below);
         let ancestors = ancestors(position).filter_map(|position| order.get(position));
         let nearby = order.iter().take(LOCAL_CANDIDATES);
         let nearby = nearby.take_while(|member| is_store_unavailable || member.id != own.id);
--- a/crates/process/gateway/src/store_watch.rs
+++ b/crates/process/gateway/src/store_watch.rs
@@ -13,17 +13,8 @@
     tokio::{time::sleep, try_join},
 };
 
-/// Time for which one long poll waits for a change of the configuration. Each
-/// reply confirms the configuration, so this bounds the age that hosts which ask
-/// this one see.
-const CONFIG_WAIT: Duration = Duration::from_millis(900);
 /// Time for which one long poll waits for a change of the hosts.
 const HOSTS_WAIT: Duration = Duration::from_secs(10);
-/// Pause between polls for changes of servers. Servers write about once a
-/// second, so a long poll would return at once each time. The pause is well
-/// below the 3 s at least for which a draining server still serves after the
-/// store has recorded it.
-const SERVER_POLL_PAUSE: Duration = Duration::from_millis(900);
 
 /// Times at which the keys that requests depend on last matched the store.
 ///
@@ -75,19 +66,18 @@
     shared.on_store_read(began);
     on_loaded();
     let confirmations = Confirmations::new(began);
+    // Servers write about once a second, so a long poll for their changes would return
+    // at once each time. Each reply for the configuration confirms it, which bounds the
+    // age that hosts which ask this one see.
+    let poll_pause = shared.settings.change_budget.poll_pause();
     let watch = |range, after, wait, pause| {
         let poll = Poll { wait, pause };
         watch(shared, &confirmations, range, after, poll)
     };
     try_join!(
         watch(KeyRange::Fleet, hosts, HOSTS_WAIT, Duration::ZERO),
-        watch(KeyRange::Config, config, CONFIG_WAIT, Duration::ZERO),
-        watch(
-            KeyRange::Servers,
-            servers,
-            Duration::ZERO,
-            SERVER_POLL_PAUSE
-        ),
+        watch(KeyRange::Config, config, poll_pause, Duration::ZERO),
+        watch(KeyRange::Servers, servers, Duration::ZERO, poll_pause),
     )
     .map(|_| ())
 }
