Do not retry a query that has lost three servers and has no answer

The calls of a request share what they have seen. After three lost servers and no answer, no further server is tried for the request.

--- a/crates/process/gateway/src/server_selection.rs
+++ b/crates/process/gateway/src/server_selection.rs
@@ -11,7 +11,7 @@
         shared::Shared,
         Adapter,
     },
-    link::ServiceNames,
+    link::{ServiceNames, CRASHES_TO_HOLD},
     plan::Reason,
     record::ZoneId,
     replica::{CallProfile, Pick, ReplicaKey},
@@ -61,10 +61,13 @@
         self.scope.is_none_or(|scope| scope.contains(service))
     }
 
-    /// Returns whether a further server may run the request.
+    /// Returns whether a further server may run the request: not if it may be the
+    /// request that has ended those that were tried.
     fn may_try_further(&self, service: &ServiceName, now: Instant) -> bool {
+        let evidence = self.outgoing.evidence.borrow();
+        let is_harmful = evidence.lost >= CRASHES_TO_HOLD && evidence.answered.is_empty();
         let crash_ledger = self.shared.crash_ledger.borrow();
-        !crash_ledger.is_held_at(self.outgoing.fingerprint, service, now)
+        !is_harmful && !crash_ledger.is_held_at(self.outgoing.fingerprint, service, now)
     }
 
     /// Returns the relay for the first call of a part, or `None` to call the
