Write a hold from one task at a time

Two writes of a hold that overlapped on one host expected the same revision, so that the second was refused and what it had to tell was lost, such as a canary that was answered. Changes that come while a hold is written are now written after it.

--- a/crates/connection/link/src/crash_ledger.rs
+++ b/crates/connection/link/src/crash_ledger.rs
@@ -430,23 +430,20 @@
         Admission::Held(hold.wait(now))
     }
 
-    /// Takes back a canary that no server has run, and returns what to tell other hosts.
-    pub fn on_canary_not_run(&mut self, request: Fingerprint, now: Instant) -> Option<HoldState> {
-        let hold = self.holds.get_mut(&request)?;
-        hold.paused_until = now + UNUSED_CANARY_PAUSE;
-        self.take_back_canary(request, now)
+    /// Takes back a canary that no server has run; the next one follows after a pause.
+    pub fn on_canary_not_run(&mut self, request: Fingerprint, now: Instant) {
+        if let Some(hold) = self.holds.get_mut(&request) {
+            hold.paused_until = now + UNUSED_CANARY_PAUSE;
+            hold.canaries = hold.canaries.saturating_sub(1);
+        }
     }
 
     /// Takes back a canary that has been answered, so that the next one can reach the
-    /// services that are still unproven at once, and returns what to tell other hosts.
-    pub fn on_canary_answered(&mut self, request: Fingerprint, now: Instant) -> Option<HoldState> {
-        self.take_back_canary(request, now)
-    }
-
-    fn take_back_canary(&mut self, request: Fingerprint, now: Instant) -> Option<HoldState> {
-        let hold = self.holds.get_mut(&request)?;
-        hold.canaries = hold.canaries.saturating_sub(1);
-        Some(hold.state(now))
+    /// services that are still unproven at once.
+    pub fn on_canary_answered(&mut self, request: Fingerprint) {
+        if let Some(hold) = self.holds.get_mut(&request) {
+            hold.canaries = hold.canaries.saturating_sub(1);
+        }
     }
 
     /// Returns what is remembered of the crashes of a request.
--- a/crates/connection/link/tests/crash_ledger.rs
+++ b/crates/connection/link/tests/crash_ledger.rs
@@ -180,7 +180,8 @@
     let mut at = now + Duration::from_secs(1);
     for _ in 0..20 {
         assert_eq!(admit(&mut ledger, REQUEST, true, at), canary());
-        let state = ledger.on_canary_not_run(REQUEST, at).unwrap();
+        ledger.on_canary_not_run(REQUEST, at);
+        let state = ledger.hold_state(REQUEST, at).unwrap();
         assert_eq!(state.canaries, 0);
         ledger.on_record(REQUEST, state, at);
         let early = admit(&mut ledger, REQUEST, true, at + Duration::from_secs(4));
@@ -265,7 +266,8 @@
     let one = Admission::Canary(services(&["s0"]));
     assert_eq!(admit_query(&mut ledger, true, at), one);
     assert!(ledger.on_answered(REQUEST, &service("s0")));
-    assert_eq!(ledger.on_canary_answered(REQUEST, at).unwrap().canaries, 0);
+    ledger.on_canary_answered(REQUEST);
+    assert_eq!(ledger.hold_state(REQUEST, at).unwrap().canaries, 0);
     let rest = Admission::Canary(services(&SHARDS));
     assert_eq!(admit_query(&mut ledger, true, at), rest);
 }
--- a/crates/process/gateway/src/crashes.rs
+++ b/crates/process/gateway/src/crashes.rs
@@ -328,33 +328,26 @@
 }
 
 /// Takes back a canary that no server has run, or that all its services have answered.
-pub(crate) async fn on_canary_ended<A: Adapter>(
-    shared: Rc<Shared<A>>,
-    outgoing: Rc<OutgoingRequest>,
-    scope: ServiceNames,
+pub(crate) fn on_canary_ended<A: Adapter>(
+    shared: &Rc<Shared<A>>,
+    outgoing: &Rc<OutgoingRequest>,
+    scope: &ServiceNames,
     has_not_run: bool,
 ) {
     let request = outgoing.fingerprint;
-    let state = {
-        let now = Instant::now();
-        let mut crash_ledger = shared.crash_ledger.borrow_mut();
-        let is_answered = scope
-            .iter()
-            .all(|service| !crash_ledger.is_held_at(request, service, now));
-        if has_not_run {
-            crash_ledger.on_canary_not_run(request, now)
-        } else if is_answered {
-            crash_ledger.on_canary_answered(request, now)
-        } else {
-            None
-        }
-    };
-    let Some(state) = state else {
+    let now = Instant::now();
+    let mut crash_ledger = shared.crash_ledger.borrow_mut();
+    let is_answered = scope
+        .iter()
+        .all(|service| !crash_ledger.is_held_at(request, service, now));
+    if has_not_run {
+        crash_ledger.on_canary_not_run(request, now);
+    } else if is_answered {
+        crash_ledger.on_canary_answered(request);
+    } else {
         return;
-    };
-    if write_hold(&shared, request, state).await != Ok(true) {
-        log::info!(target: "crash", "A canary of request {request:016x} has ended no server and counts all the same.");
     }
+    publish(shared, outgoing);
 }
 
 fn is_owner<A: Adapter>(shared: &Shared<A>, request: Fingerprint) -> bool {
@@ -406,32 +399,51 @@
     request: Fingerprint,
     is_over: impl Fn(&HoldState) -> bool + 'static,
 ) {
-    if !shared.unwritten_holds.borrow_mut().insert(request) {
+    let mut unwritten_holds = shared.unwritten_holds.borrow_mut();
+    if let Some(has_changed) = unwritten_holds.get_mut(&request) {
+        *has_changed = true;
         return;
     }
+    unwritten_holds.insert(request, true);
     let shared = Rc::clone(shared);
     spawn_local(async move {
         sleep(WRITE_DELAY).await;
+        let take_change = || {
+            let mut unwritten_holds = shared.unwritten_holds.borrow_mut();
+            unwritten_holds.insert(request, false) == Some(true)
+        };
+        while take_change() {
+            write_or_end(&shared, request, &is_over).await;
+        }
         shared.unwritten_holds.borrow_mut().remove(&request);
-        for _ in 0..WRITE_ATTEMPTS {
-            let Some(state) = hold_state(&shared, request) else {
-                return;
-            };
-            let written = if is_over(&state) {
-                end_hold(&shared, request, state).await
-            } else {
-                write_hold(&shared, request, state).await
-            };
-            match written {
-                // Another host may have written the hold.
-                Ok(_) => return,
-                Err(fault) => {
-                    log::warn!(target: "crash", "The hold of request {request:016x} is not in the store yet: {fault:?}.");
-                }
+    });
+}
+
+/// Writes the hold of a request as it is now, or ends it, and tries again if the store
+/// does not answer.
+async fn write_or_end<A: Adapter>(
+    shared: &Shared<A>,
+    request: Fingerprint,
+    is_over: impl Fn(&HoldState) -> bool,
+) {
+    for _ in 0..WRITE_ATTEMPTS {
+        let Some(state) = hold_state(shared, request) else {
+            return;
+        };
+        let written = if is_over(&state) {
+            end_hold(shared, request, state).await
+        } else {
+            write_hold(shared, request, state).await
+        };
+        match written {
+            // Another host may have written the hold.
+            Ok(_) => return,
+            Err(fault) => {
+                log::warn!(target: "crash", "The hold of request {request:016x} is not in the store yet: {fault:?}.");
             }
-            sleep(WRITE_PAUSE).await;
         }
-    });
+        sleep(WRITE_PAUSE).await;
+    }
 }
 
 /// Ends the hold of a request on all hosts. Returns `false` if another host has written it.
@@ -479,22 +491,22 @@
         .write_if(&key, expected, Bytes::from(value), lease)
         .await;
     let mut written_holds = shared.written_holds.borrow_mut();
-    match (&written, previous) {
-        (Ok(Some(revision)), _) => {
-            let revision = *revision;
+    match written {
+        Ok(Some(revision)) => {
             written_holds.insert(request, WrittenHold { lease, revision });
+            Ok(true)
         }
         // The key is still attached to the lease of an earlier write, of this host or another.
-        (Ok(None), Some(previous)) => {
-            written_holds.insert(request, previous);
-        }
-        (Ok(None), None) => {
-            written_holds.remove(&request);
+        Ok(None) => {
+            match previous {
+                Some(previous) => written_holds.insert(request, previous),
+                None => written_holds.remove(&request),
+            };
+            Ok(false)
         }
         // It may be attached to the new lease.
-        (Err(_), _) => {}
+        Err(fault) => Err(fault),
     }
-    written.map(|revision| revision.is_some())
 }
 
 /// Writes the holds of requests that this host owns anew before the store drops them.
--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -161,12 +161,7 @@
     };
     let has_not_run = matches!(&result, Err(error) if error.ran() == Ran::No);
     if let (true, Some(scope)) = (permit.is_canary, permit.scope) {
-        spawn_local(crashes::on_canary_ended(
-            Rc::clone(shared),
-            outgoing,
-            scope,
-            has_not_run,
-        ));
+        crashes::on_canary_ended(shared, &outgoing, &scope, has_not_run);
     }
     result
 }
--- a/crates/process/gateway/src/shared.rs
+++ b/crates/process/gateway/src/shared.rs
@@ -16,7 +16,7 @@
     scatter::{DelayForecast, ExtraCallBudgets, WeightedSplits},
     std::{
         cell::{Cell, RefCell},
-        collections::{HashMap, HashSet},
+        collections::HashMap,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -40,8 +40,8 @@
     pub(crate) crash_ledger: RefCell<CrashLedger>,
     /// Holds that this host has written to the store.
     pub(crate) written_holds: RefCell<HashMap<Fingerprint, WrittenHold>>,
-    /// Requests whose holds are about to be written.
-    pub(crate) unwritten_holds: RefCell<HashSet<Fingerprint>>,
+    /// Requests whose holds are being written, and whether they have changed since.
+    pub(crate) unwritten_holds: RefCell<HashMap<Fingerprint, bool>>,
     pub(crate) connections: RefCell<Connections>,
     pub(crate) members: RefCell<Members>,
     pub(crate) peers: RefCell<Peers>,
