--- a/crates/process/gateway/src/serve.rs
+++ b/crates/process/gateway/src/serve.rs
@@ -511,7 +511,7 @@
             service = &*call.service,
             server,
             expected_ms = call.expected.as_millis() as u64,
-            extras_left = self.shared.extra_call_budgets.borrow().remaining(&call.service);
+            extras_left = self.shared.extra_call_budgets.borrow().remaining(&call.service, Instant::now());
             "A further server is called."
         );
     }
--- a/crates/process/gateway/src/server_selection.rs
+++ b/crates/process/gateway/src/server_selection.rs
@@ -128,7 +128,7 @@
                 .shared
                 .extra_call_budgets
                 .borrow()
-                .retry_reserve(service),
+                .retry_reserve(service, now),
         };
         let servers = self.shared.servers.borrow();
         let pick = servers.pick(service, &tried_servers, profile, now, &mut rand::rng());
--- a/crates/process/gateway/src/settings.rs
+++ b/crates/process/gateway/src/settings.rs
@@ -19,6 +19,9 @@
 /// Time within which a configuration is in force if the settings name none.
 const DEFAULT_CONFIG_APPLY: Duration = Duration::from_secs(3);
 
+/// Window within which a service limits extra calls if the settings name none.
+const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
+
 /// Settings as read by an adapter, not yet validated.
 #[derive(Clone, Debug, Default)]
 pub struct RawSettings {
@@ -44,6 +47,8 @@
     pub retry_ratio: f64,
     /// Extra calls that a service allows in any window beyond that ratio.
     pub retry_slack: f64,
+    /// Length of that window, in milliseconds; `None` if it is not known.
+    pub retry_window_ms: Option<u64>,
     /// Time from the stop signal until the process has to be gone, in milliseconds.
     pub shutdown_timeout_ms: u64,
     /// Time for which a leaving server serves after the store has recorded that it
@@ -156,6 +161,9 @@
             allowance: Allowance {
                 ratio: raw.retry_ratio,
                 slack: raw.retry_slack,
+                window: raw
+                    .retry_window_ms
+                    .map_or(DEFAULT_RETRY_WINDOW, Duration::from_millis),
             },
             server_drain,
             change_budget: ChangeBudget::new(server_drain.min(config_apply)),
--- a/crates/process/gateway/src/shared.rs
+++ b/crates/process/gateway/src/shared.rs
@@ -13,7 +13,7 @@
     meter::ForwardingMetrics,
     replica::{LatencyMedians, ServerDirectory},
     routing::Table,
-    scatter::{DelayForecast, ExtraCallBudgets, WeightedSplits},
+    scatter::{BudgetStart, DelayForecast, ExtraCallBudgets, WeightedSplits},
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -85,7 +85,15 @@
                 settings.server_drain,
             )),
             latency_medians: RefCell::default(),
-            extra_call_budgets: RefCell::new(ExtraCallBudgets::new(settings.allowance, 1)),
+            extra_call_budgets: RefCell::new(ExtraCallBudgets::new(
+                settings.allowance,
+                1,
+                if settings.is_new_fleet {
+                    BudgetStart::New
+                } else {
+                    BudgetStart::At(Instant::now())
+                },
+            )),
             splits: RefCell::default(),
             delay_forecast: RefCell::default(),
             crash_ledger: RefCell::default(),
--- a/crates/request/plan/src/budget.rs
+++ b/crates/request/plan/src/budget.rs
@@ -15,7 +15,12 @@
 
     /// Adds `share` tokens for each of `calls` first calls.
     pub fn earn(&mut self, calls: usize, share: f64) {
-        self.tokens = (self.tokens + calls as f64 * share).min(self.max_tokens);
+        self.add(calls as f64 * share);
+    }
+
+    /// Adds `tokens`.
+    pub fn add(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.max_tokens);
     }
 
     /// Sets the maximum number of tokens, and drops tokens beyond it.
--- a/crates/request/scatter/src/extra_calls.rs
+++ b/crates/request/scatter/src/extra_calls.rs
@@ -4,17 +4,28 @@
 //! its first calls plus a fixed number per time window. Each host limits
 //! itself to that share of its own first calls plus its part of the fixed
 //! number, so the total stays below the limit without coordination.
+//!
+//! Load: hosts that restart while servers fail. A host does not know what it used
+//! before it started. Until a window has passed it has only a part of the fixed
+//! number, so that each host may restart once within a window.
 
 use {
     plan::Budget,
     routing::ServiceName,
-    std::{collections::HashMap, time::Instant},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
 };
 
 /// Share of the limit that hosts use. The rest covers hosts that are not known
 /// yet and calls that senders and receivers count in different windows.
 const USABLE_SHARE: f64 = 0.8;
 
+/// Share of its part of the fixed number that a started host has until a window has
+/// passed: what the usable share leaves.
+const SHARE_AT_START: f64 = (1.0 - USABLE_SHARE) / USABLE_SHARE;
+
 /// Number of remaining extra calls that counts as a full reserve. The first
 /// calls of a few queries earn back a hedge and a retry.
 const FULL_RESERVE: f64 = 3.0;
@@ -26,6 +37,17 @@
     pub ratio: f64,
     /// Additional extra calls in any time window.
     pub slack: f64,
+    /// Length of that window.
+    pub window: Duration,
+}
+
+/// When a host has begun to make calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BudgetStart {
+    /// It is the first process of the host, which has made no calls before.
+    New,
+    /// It may have made calls before this time.
+    At(Instant),
 }
 
 /// Extra-call budgets of one host, by service.
@@ -33,15 +55,25 @@
 pub struct ExtraCallBudgets {
     allowance: Allowance,
     hosts: usize,
-    budgets: HashMap<ServiceName, (Budget, Instant)>,
+    start: BudgetStart,
+    budgets: HashMap<ServiceName, ServiceBudget>,
+}
+
+#[derive(Debug)]
+struct ServiceBudget {
+    budget: Budget,
+    /// Whether the whole part of the fixed number has been granted.
+    is_granted: bool,
+    used_at: Instant,
 }
 
 impl ExtraCallBudgets {
     /// Creates the budgets of one of `hosts` hosts.
-    pub fn new(allowance: Allowance, hosts: usize) -> Self {
+    pub fn new(allowance: Allowance, hosts: usize, start: BudgetStart) -> Self {
         Self {
             allowance,
             hosts: hosts.max(1),
+            start,
             budgets: HashMap::new(),
         }
     }
@@ -60,8 +92,8 @@
 
     fn cap_budgets(&mut self) {
         let max_tokens = self.max_tokens();
-        for (budget, _) in self.budgets.values_mut() {
-            budget.set_max(max_tokens);
+        for service in self.budgets.values_mut() {
+            service.budget.set_max(max_tokens);
         }
     }
 
@@ -70,12 +102,38 @@
         (self.allowance.slack * USABLE_SHARE / self.hosts as f64).max(1.0)
     }
 
+    /// Returns whether all calls before the start are older than a window.
+    fn is_window_over(&self, now: Instant) -> bool {
+        match self.start {
+            BudgetStart::New => true,
+            BudgetStart::At(at) => now.saturating_duration_since(at) >= self.allowance.window,
+        }
+    }
+
+    fn initial_tokens(&self, now: Instant) -> f64 {
+        if self.is_window_over(now) {
+            self.max_tokens()
+        } else {
+            self.max_tokens() * SHARE_AT_START
+        }
+    }
+
     fn budget(&mut self, service: &ServiceName, now: Instant) -> &mut Budget {
         let max_tokens = self.max_tokens();
+        let is_window_over = self.is_window_over(now);
+        let initial_tokens = self.initial_tokens(now);
         let entry = self.budgets.entry(service.clone());
-        let (budget, used_at) = entry.or_insert_with(|| (Budget::new(max_tokens, max_tokens), now));
-        *used_at = now;
-        budget
+        let service = entry.or_insert_with(|| ServiceBudget {
+            budget: Budget::new(initial_tokens, max_tokens),
+            is_granted: is_window_over,
+            used_at: now,
+        });
+        service.used_at = now;
+        if is_window_over && !service.is_granted {
+            service.is_granted = true;
+            service.budget.add(max_tokens * (1.0 - SHARE_AT_START));
+        }
+        &mut service.budget
     }
 
     /// Records the first call of a part, which earns a share of an extra call.
@@ -91,18 +149,21 @@
 
     /// Returns how well the budget can absorb a failed call: from 0 if no extra call is left
     /// to 1 if several are.
-    pub fn retry_reserve(&self, service: &ServiceName) -> f64 {
-        (self.remaining(service) / FULL_RESERVE).min(1.0)
+    pub fn retry_reserve(&self, service: &ServiceName, now: Instant) -> f64 {
+        (self.remaining(service, now) / FULL_RESERVE).min(1.0)
     }
 
     /// Returns the number of extra calls left.
-    pub fn remaining(&self, service: &ServiceName) -> f64 {
-        let budget = self.budgets.get(service);
-        budget.map_or_else(|| self.max_tokens(), |(budget, _)| budget.tokens())
+    pub fn remaining(&self, service: &ServiceName, now: Instant) -> f64 {
+        let known = self.budgets.get(service);
+        known.map_or_else(
+            || self.initial_tokens(now),
+            |service| service.budget.tokens(),
+        )
     }
 
     /// Removes the budgets of services not called since `before`.
     pub fn remove_unused(&mut self, before: Instant) {
-        self.budgets.retain(|_, (_, used_at)| *used_at >= before);
+        self.budgets.retain(|_, service| service.used_at >= before);
     }
 }
--- a/crates/request/scatter/src/lib.rs
+++ b/crates/request/scatter/src/lib.rs
@@ -21,7 +21,7 @@
 pub use crate::{
     delay_forecast::{DelayForecast, Refusal},
     event::{Action, Call, Candidate, Cause, Event, Failure, MergedReply, Outcome, Replicas},
-    extra_calls::{Allowance, ExtraCallBudgets},
+    extra_calls::{Allowance, BudgetStart, ExtraCallBudgets},
     merge::{top_records, RECORD_BYTES},
     policy::QueryPolicy,
     query::Query,
