Hold a query that some shards answer only after three servers of one shard

Crashes count together only if no service has answered the request. Else three servers of one service are needed, as many as a query that harms one shard ends in two attempts.

--- a/crates/connection/link/src/crash_ledger.rs
+++ b/crates/connection/link/src/crash_ledger.rs
@@ -7,7 +7,8 @@
 //! request is a crash, which the next answer of the service clears. A host reports
 //! the crashes that no answer has cleared to the owner of the request's
 //! [`Fingerprint`]. Each host counts what it has seen and what it was told by the
-//! same rule: a request that has ended [`CRASHES_TO_HOLD`] servers is held back.
+//! same rule: a request is held back that has ended [`CRASHES_TO_HOLD`] servers of a
+//! service, or of all services together if none has answered it.
 //!
 //! A request that is held back runs only at proven services: those that have answered
 //! it after their last crash. At the others it runs as a canary, so that a mistake,
@@ -42,11 +43,12 @@
 const UNUSED_CANARY_PAUSE: Duration = Duration::from_secs(5);
 /// Shortest time that callers of a request that is held back are told to wait.
 const MIN_WAIT: Duration = Duration::from_secs(1);
-/// Largest number of requests about which crashes are remembered, and of those that
-/// are held back.
-const MAX_SUSPECTS: usize = 4_096;
+/// Largest number of requests about which crashes are remembered.
+const MAX_SUSPECTS: usize = 1_024;
+/// Largest number of requests that are held back.
+const MAX_HOLDS: usize = 4_096;
 /// Largest number of crashes that are remembered of a request.
-const MAX_CRASHES: usize = 16;
+const MAX_CRASHES: usize = 64;
 
 /// A set of services.
 pub type ServiceNames = BTreeSet<ServiceName>;
@@ -142,17 +144,32 @@
         self.last_crash_at = now;
         self.crashes.retain(|known| !is_expired(known.at, now));
         self.proven.remove(&crash.service);
-        let has_room = self.crashes.len() < MAX_CRASHES;
         let mut crashes = self.crashes.iter_mut();
-        match crashes.find(|known| known.crash.server == crash.server) {
-            Some(known) => known.is_counted |= is_counted,
-            None if has_room => self.crashes.push(RecordedCrash {
-                crash,
-                at: now,
-                is_counted,
-            }),
-            None => {}
+        if let Some(known) = crashes.find(|known| known.crash.server == crash.server) {
+            known.is_counted |= is_counted;
+            return;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(RecordedCrash {
+            crash,
+            at: now,
+            is_counted,
+        });
+    }
+
+    /// Returns whether the request has ended enough servers. One that some services
+    /// answer may have met servers of the others that were lost together.
+    fn is_harmful(&self) -> bool {
+        if self.proven.is_empty() {
+            return self.counted().count() >= CRASHES_TO_HOLD;
         }
+        let has_ended_enough = |service: &ServiceName| {
+            let crashes = self.counted().filter(|crash| crash.service == *service);
+            crashes.count() >= CRASHES_TO_HOLD
+        };
+        self.counted().any(|crash| has_ended_enough(&crash.service))
     }
 
     fn counted(&self) -> impl Iterator<Item = &Crash> {
@@ -319,7 +336,7 @@
             hold.canaries += 1;
             return Verdict::HoldChanged;
         }
-        if suspect.counted().count() < CRASHES_TO_HOLD {
+        if !suspect.is_harmful() {
             return Verdict::Suspected;
         }
         let proven = suspect.proven.clone();
@@ -458,11 +475,11 @@
 
     /// Makes room for another hold: drops those that have ended, else the oldest.
     fn make_room_for_hold(&mut self, now: Instant) {
-        if self.holds.len() < MAX_SUSPECTS {
+        if self.holds.len() < MAX_HOLDS {
             return;
         }
         self.holds.retain(|_, hold| now < hold.until);
-        if self.holds.len() >= MAX_SUSPECTS {
+        if self.holds.len() >= MAX_HOLDS {
             let oldest = self.holds.iter().min_by_key(|(_, hold)| hold.since);
             if let Some(request) = oldest.map(|(request, _)| *request) {
                 self.holds.remove(&request);
--- a/crates/connection/link/tests/crash_ledger.rs
+++ b/crates/connection/link/tests/crash_ledger.rs
@@ -255,6 +255,25 @@
     assert_eq!(admit_query(&mut ledger, true, at), Admission::Run);
 }
 
+// Guards against queries that are held back since servers of several shards, which
+// others answer, were lost together.
+#[test]
+fn a_query_that_loses_a_server_of_each_of_some_shards_is_not_held_back() {
+    let (mut ledger, now) = (CrashLedger::default(), Instant::now());
+    for (count, shard) in SHARDS.iter().cycle().take(6).enumerate() {
+        let crash = Crash {
+            service: service(shard),
+            server: count.to_string(),
+        };
+        ledger.on_server_lost(REQUEST, crash, &[service("s3")], now);
+        let (_, verdict) = ledger.confirm(REQUEST, now).unwrap();
+        assert_eq!(verdict, Verdict::Suspected);
+    }
+    assert_eq!(ledger.crash_count(REQUEST), 6);
+    let verdict = report(&mut ledger, REQUEST, "s2", "another", now);
+    assert_eq!(verdict, Verdict::HoldBegun, "the third server of a shard");
+}
+
 // Guards against a canary that ends a server of each shard.
 #[test]
 fn the_first_canary_of_a_query_that_no_shard_answers_reaches_one_shard() {
