--- a/crates/process/gateway/src/crashes.rs
+++ b/crates/process/gateway/src/crashes.rs
@@ -23,6 +23,7 @@
     std::{
         cmp::Reverse,
         rc::Rc,
+        sync::Arc,
         time::{Duration, Instant},
     },
     store::{Fault, KeyPrefixStore, LeaseId, StoreRevision},
@@ -383,12 +384,10 @@
 /// Writes the hold of a request to the store, or ends it if all services of its route
 /// are proven.
 fn publish<A: Adapter>(shared: &Rc<Shared<A>>, outgoing: &Rc<OutgoingRequest>) {
-    let route = Rc::clone(outgoing);
+    let route = Arc::clone(&outgoing.route);
     spawn_publication(shared, outgoing.fingerprint, move |state| {
-        let services = route.route.services();
-        services
-            .into_iter()
-            .all(|service| state.proven.contains(service))
+        let mut services = route.services().into_iter();
+        services.all(|service| state.proven.contains(service))
     });
 }
 
