Count a server once more that came back under its entry and ended again

Cause: the ledger told the crashes of a request apart by the incarnation in the server's entry. A server that is back before hosts learn of it, or while they cannot reach the store, has its former entry, so all its crashes after the first were dropped. A request to a service of two servers was then never held back.

A crash now carries the time of the loss and of the server's last answer to the host that lost it, and counts anew if that answer came after the last crash counted of this server. Hosts tell both as ages, since their clocks differ; an answer must be 250 ms later, so that two reports of one crash with different delays are one. A server that closes connections and has answered nothing since counts once, as before.

Reports have new fields: version 5 of the protocol between hosts.

A test of the ledger states which reports count.

--- a/crates/connection/link/src/crash_ledger.rs
+++ b/crates/connection/link/src/crash_ledger.rs
@@ -4,8 +4,9 @@
 //! again by its caller, at any host; or a query that does so at one of its shards.
 //!
 //! What is suspect is a request at a service. A server that is lost while it runs the
-//! request is a crash, which the next answer of the service clears. A host reports
-//! the crashes that no answer has cleared to the owner of the request's
+//! request is a crash, which the next answer of the service clears. One that has
+//! answered something since its last crash has come back, and may crash again. A host
+//! reports the crashes that no answer has cleared to the owner of the request's
 //! [`Fingerprint`]. Each host counts what it has seen and what it was told by the
 //! same rule: a request is held back that has ended [`CRASHES_TO_HOLD`] servers of a
 //! service, or of all services together if none has answered it.
@@ -49,6 +50,9 @@
 const MAX_HOLDS: usize = 4_096;
 /// Largest number of crashes that are remembered of a request.
 const MAX_CRASHES: usize = 64;
+/// Shortest time in which a server that has ended answers again. It covers the
+/// difference between the delays of two reports of one crash.
+const MIN_RESTART_TIME: Duration = Duration::from_millis(250);
 
 /// A set of services.
 pub type ServiceNames = BTreeSet<ServiceName>;
@@ -60,6 +64,21 @@
     pub service: ServiceName,
     /// Name of the server's incarnation.
     pub server: String,
+    /// Time at which the server was lost.
+    pub lost_at: Instant,
+    /// Time of the server's last answer to any request of the host that lost it.
+    pub replied_at: Option<Instant>,
+}
+
+impl Crash {
+    /// Returns whether the server had come back from `earlier` and ended once more.
+    /// Its entry may not tell, as hosts learn of a restart late or not at all while
+    /// the store is out of reach.
+    fn is_repeat_of(&self, earlier: &Self) -> bool {
+        let back_at = earlier.lost_at + MIN_RESTART_TIME;
+        self.replied_at
+            .is_some_and(|replied_at| replied_at >= back_at)
+    }
 }
 
 /// What a host has seen of a request.
@@ -145,7 +164,10 @@
         self.crashes.retain(|known| !is_expired(known.at, now));
         self.proven.remove(&crash.service);
         let mut crashes = self.crashes.iter_mut();
-        if let Some(known) = crashes.find(|known| known.crash.server == crash.server) {
+        // Each end of a server counts once, whichever hosts report it.
+        let known =
+            crashes.find(|k| k.crash.server == crash.server && !crash.is_repeat_of(&k.crash));
+        if let Some(known) = known {
             known.is_counted |= is_counted;
             return;
         }
--- a/crates/connection/link/tests/crash_ledger.rs
+++ b/crates/connection/link/tests/crash_ledger.rs
@@ -26,12 +26,19 @@
     names.iter().map(|name| service(name)).collect()
 }
 
-/// Reports the crash of a server of a service.
-fn report(ledger: &mut CrashLedger, request: u64, at: &str, server: &str, now: Instant) -> Verdict {
-    let crash = Crash {
+/// Returns the crash of a server that has not answered since it was lost before.
+fn lost(at: &str, server: &str, now: Instant) -> Crash {
+    Crash {
         service: service(at),
         server: server.to_owned(),
-    };
+        lost_at: now,
+        replied_at: None,
+    }
+}
+
+/// Reports the crash of a server of a service.
+fn report(ledger: &mut CrashLedger, request: u64, at: &str, server: &str, now: Instant) -> Verdict {
+    let crash = lost(at, server, now);
     let evidence = CrashEvidence {
         crashes: vec![crash],
         proven: ServiceNames::new(),
@@ -236,10 +243,7 @@
 fn a_query_runs_at_the_shards_that_answer_it_and_the_others_are_probed() {
     let (mut ledger, now) = (CrashLedger::default(), Instant::now());
     for server in ["a", "b", "c"] {
-        let crash = Crash {
-            service: service("s2"),
-            server: server.to_owned(),
-        };
+        let crash = lost("s2", server, now);
         let answered = [service("s0"), service("s1")];
         assert!(ledger.on_server_lost(REQUEST, crash, &answered, now));
         ledger.confirm(REQUEST, now).unwrap();
@@ -261,10 +265,7 @@
 fn a_query_that_loses_a_server_of_each_of_some_shards_is_not_held_back() {
     let (mut ledger, now) = (CrashLedger::default(), Instant::now());
     for (count, shard) in SHARDS.iter().cycle().take(6).enumerate() {
-        let crash = Crash {
-            service: service(shard),
-            server: count.to_string(),
-        };
+        let crash = lost(shard, &count.to_string(), now);
         ledger.on_server_lost(REQUEST, crash, &[service("s3")], now);
         let (_, verdict) = ledger.confirm(REQUEST, now).unwrap();
         assert_eq!(verdict, Verdict::Suspected);
@@ -274,6 +275,30 @@
     assert_eq!(verdict, Verdict::HoldBegun, "the third server of a shard");
 }
 
+// Guards against servers that are counted once though they have come back under the
+// same entry, and against one crash that counts again with each host that reports it.
+#[test]
+fn each_end_of_a_server_counts_once() {
+    let (mut ledger, now) = (CrashLedger::default(), Instant::now());
+    let mut report_at = |lost_ms, replied_ms: Option<u64>| {
+        let at = |ms| now + Duration::from_millis(ms);
+        let mut crash = lost("s", "a", at(lost_ms));
+        crash.replied_at = replied_ms.map(at);
+        let evidence = CrashEvidence {
+            crashes: vec![crash],
+            proven: ServiceNames::new(),
+        };
+        ledger.on_report(REQUEST, &evidence, at(lost_ms + 250));
+        ledger.crash_count(REQUEST) + 3 * usize::from(ledger.held_for(REQUEST, now).is_some())
+    };
+    assert_eq!(report_at(1_000, None), 1);
+    assert_eq!(report_at(1_010, Some(1_005)), 1, "of another host");
+    assert_eq!(report_at(3_000, Some(900)), 1, "no answer in between");
+    assert_eq!(report_at(3_100, Some(3_050)), 2);
+    assert_eq!(report_at(3_120, Some(2_900)), 2, "of another host");
+    assert_eq!(report_at(5_000, Some(4_000)), 3);
+}
+
 // Guards against a canary that ends a server of each shard.
 #[test]
 fn the_first_canary_of_a_query_that_no_shard_answers_reaches_one_shard() {
@@ -296,10 +321,7 @@
 fn an_answer_counts_for_the_crashes_before_it_only_and_for_its_service_only() {
     let (mut ledger, now) = (CrashLedger::default(), Instant::now());
     let lose = |ledger: &mut CrashLedger, server: &str| {
-        let crash = Crash {
-            service: service("s"),
-            server: server.to_owned(),
-        };
+        let crash = lost("s", server, now);
         ledger.on_server_lost(REQUEST, crash, &[service("s")], now)
     };
     ledger.on_answered(REQUEST, &service("s"));
@@ -404,10 +426,7 @@
         }
         self.late += usize::from(self.is_due);
         self.servers += 1;
-        let crash = Crash {
-            service: service("s"),
-            server: self.servers.to_string(),
-        };
+        let crash = lost("s", &self.servers.to_string(), now);
         self.ledgers[host].on_server_lost(REQUEST, crash, &[], now);
         let (evidence, verdict) = self.ledgers[host].confirm(REQUEST, now).unwrap();
         let mut news = verdict.is_news().then_some(host);
--- a/crates/connection/replica/src/directory.rs
+++ b/crates/connection/replica/src/directory.rs
@@ -408,6 +408,11 @@
         server.on_call_ended(call, evidence, median_ms, now)
     }
 
+    /// Returns the time of a server's last reply, to a refused call, too.
+    pub fn last_reply_at(&self, key: ReplicaKey) -> Option<Instant> {
+        self.servers.get(&key)?.last_reply_at
+    }
+
     /// Records how long it took to open a connection to a server.
     pub fn on_connected(&mut self, key: ReplicaKey, connect_time: Duration) {
         if let Some(server) = self.servers.get_mut(&key) {
--- a/crates/connection/replica/src/server.rs
+++ b/crates/connection/replica/src/server.rs
@@ -87,6 +87,8 @@
     /// leaves: discovery lists it as draining or no longer lists it, or the server
     /// itself has said so.
     pub(crate) callable_until: Option<Instant>,
+    /// Time of the last reply, to a refused call, too.
+    pub(crate) last_reply_at: Option<Instant>,
 }
 
 impl Server {
@@ -107,6 +109,7 @@
             call_rate: None,
             is_listed: true,
             callable_until: None,
+            last_reply_at: None,
             entry,
         }
     }
@@ -142,6 +145,9 @@
         now: Instant,
     ) -> Option<Duration> {
         self.in_flight.retain(|call| call.id != id);
+        if matches!(evidence, Evidence::Replied(_) | Evidence::Refused(_)) {
+            self.last_reply_at = Some(now);
+        }
         match evidence {
             Evidence::Replied(latency) => {
                 self.on_success();
--- a/crates/process/gateway/src/crashes.rs
+++ b/crates/process/gateway/src/crashes.rs
@@ -153,14 +153,15 @@
     let Some(entry) = servers.entry(server) else {
         return;
     };
-    // Each incarnation of a server ends once.
     let started_at_ms = entry.started_at_ms.unwrap_or_default();
+    let now = Instant::now();
     let crash = Crash {
         service: service.clone(),
         server: format!("{}@{started_at_ms}", entry.id),
+        lost_at: now,
+        replied_at: servers.last_reply_at(server),
     };
     let request = outgoing.fingerprint;
-    let now = Instant::now();
     let mut crash_ledger = shared.crash_ledger.borrow_mut();
     if crash_ledger.on_server_lost(request, crash, &evidence.answered, now) {
         spawn_local(report(Rc::clone(shared), Rc::clone(outgoing)));
@@ -184,7 +185,7 @@
     if verdict.is_news() {
         publish(&shared, &outgoing);
     }
-    let report = CrashReport::from((request, evidence));
+    let report = CrashReport::new(request, evidence, Instant::now());
     let own_id = &shared.settings.member.id;
     let owners = owners(&shared, request);
     let others = owners.into_iter().filter(|owner| owner.id != *own_id);
--- a/crates/process/gateway/src/peer.rs
+++ b/crates/process/gateway/src/peer.rs
@@ -41,7 +41,7 @@
 };
 
 /// Version of the protocol between hosts.
-pub(crate) const PROTOCOL_VERSION: u16 = 4;
+pub(crate) const PROTOCOL_VERSION: u16 = 5;
 /// Largest message, in bytes. A whole configuration and all servers fit.
 const MAX_FRAME_BYTES: usize = 16 * 1_024 * 1_024;
 /// Longest time for opening a connection to a peer.
@@ -153,37 +153,68 @@
     pub(crate) protocol_version: u16,
     /// Fingerprint of the request.
     pub(crate) request: u64,
-    /// Services and names of the servers' incarnations.
-    pub(crate) crashes: Vec<(String, String)>,
+    pub(crate) crashes: Vec<ReportedCrash>,
     /// Services that have answered the request.
     pub(crate) proven: Vec<String>,
 }
 
-impl From<(u64, CrashEvidence)> for CrashReport {
-    fn from((request, evidence): (u64, CrashEvidence)) -> Self {
+/// Loss of a server as hosts tell it to each other, whose clocks differ.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct ReportedCrash {
+    service: String,
+    /// Name of the server's incarnation.
+    server: String,
+    /// Time since the loss, in milliseconds.
+    lost_ago_ms: u64,
+    /// Time since the server's last answer to the host, in milliseconds.
+    replied_ago_ms: Option<u64>,
+}
+
+impl ReportedCrash {
+    fn new(crash: Crash, now: Instant) -> Self {
+        let ago_ms = |at: Instant| {
+            let ago = now.saturating_duration_since(at);
+            u64::try_from(ago.as_millis()).unwrap_or(u64::MAX)
+        };
+        Self {
+            service: crash.service.to_string(),
+            server: crash.server,
+            lost_ago_ms: ago_ms(crash.lost_at),
+            replied_ago_ms: crash.replied_at.map(ago_ms),
+        }
+    }
+
+    fn into_crash(self, now: Instant) -> Crash {
+        let at = |ago_ms| now.checked_sub(Duration::from_millis(ago_ms));
+        Crash {
+            service: self.service.into(),
+            server: self.server,
+            lost_at: at(self.lost_ago_ms).unwrap_or(now),
+            replied_at: self.replied_ago_ms.and_then(at),
+        }
+    }
+}
+
+impl CrashReport {
+    /// Returns what to report at `now` of a request.
+    pub(crate) fn new(request: u64, evidence: CrashEvidence, now: Instant) -> Self {
         let crashes = evidence.crashes.into_iter();
         Self {
             protocol_version: PROTOCOL_VERSION,
             request,
             crashes: crashes
-                .map(|crash| (crash.service.to_string(), crash.server))
+                .map(|crash| ReportedCrash::new(crash, now))
                 .collect(),
             proven: evidence.proven.iter().map(ToString::to_string).collect(),
         }
     }
-}
 
-impl From<CrashReport> for CrashEvidence {
-    fn from(report: CrashReport) -> Self {
-        let crashes = report.crashes.into_iter();
-        Self {
-            crashes: crashes
-                .map(|(service, server)| Crash {
-                    service: service.into(),
-                    server,
-                })
-                .collect(),
-            proven: report.proven.into_iter().map(Into::into).collect(),
+    /// Returns the evidence of a report that has arrived at `now`.
+    fn into_evidence(self, now: Instant) -> CrashEvidence {
+        let crashes = self.crashes.into_iter();
+        CrashEvidence {
+            crashes: crashes.map(|crash| crash.into_crash(now)).collect(),
+            proven: self.proven.into_iter().map(Into::into).collect(),
         }
     }
 }
@@ -226,11 +257,9 @@
 
     async fn crash(self, _: Context, report: CrashReport) -> Result<Option<HoldRecord>> {
         check_version(report.protocol_version)?;
-        Ok(crashes::on_reported(
-            &self.0,
-            report.request,
-            &report.into(),
-        ))
+        let request = report.request;
+        let evidence = report.into_evidence(Instant::now());
+        Ok(crashes::on_reported(&self.0, request, &evidence))
     }
 }
 
