--- a/review/standin-2/standin.rs
+++ b/review/standin-2/standin.rs
@@ -622,7 +622,8 @@
     born: u64,
     is_up: bool,
     is_draining: bool,
-    connections: Vec<TcpStream>,
+    /// Open connections by number, to end them all at once.
+    connections: HashMap<u64, TcpStream>,
     running: usize,
     waiting: usize,
 }
@@ -636,6 +637,8 @@
     beat: Duration,
     /// Whether it goes on with a request whose connection has closed.
     pub works_on: AtomicBool,
+    /// Whether it starts again under the id that it had.
+    pub keeps_id: AtomicBool,
     store: Arc<Store>,
     life: Mutex<Life>,
     free: Condvar,
@@ -664,7 +667,7 @@
             born: unix_ms(),
             is_up: true,
             is_draining: false,
-            connections: Vec::new(),
+            connections: HashMap::new(),
             running: 0,
             waiting: 0,
         };
@@ -675,6 +678,7 @@
             queue: 12,
             beat: ms(1_200),
             works_on: AtomicBool::new(false),
+            keeps_id: AtomicBool::new(false),
             store: Arc::clone(store),
             life: Mutex::new(life),
             free: Condvar::new(),
@@ -739,18 +743,22 @@
                 continue;
             };
             let _ = stream.set_nonblocking(false);
+            let number = random();
             let id = {
                 let mut life = self.life.lock().unwrap();
                 if !life.is_up {
                     continue;
                 }
                 if let Ok(copy) = stream.try_clone() {
-                    life.connections.push(copy);
+                    life.connections.insert(number, copy);
                 }
                 life.id.clone()
             };
             let server = Arc::clone(&self);
-            thread::spawn(move || server.serve(stream, &id));
+            thread::spawn(move || {
+                Arc::clone(&server).serve(stream, &id);
+                server.life.lock().unwrap().connections.remove(&number);
+            });
         }
     }
     /// Ends the server; its entry goes after three beats, and it is back after `down`.
@@ -761,7 +769,7 @@
                 return;
             }
             life.is_up = false;
-            for stream in life.connections.drain(..) {
+            for (_, stream) in life.connections.drain() {
                 let _ = stream.shutdown(Shutdown::Both);
             }
             (life.running, life.waiting) = (0, 0);
@@ -774,12 +782,16 @@
         let old = id.clone();
         thread::spawn(move || {
             sleep(gone.beat * 3);
-            gone.store.delete(&format!("servers/{old}"));
+            if gone.id() != old {
+                gone.store.delete(&format!("servers/{old}"));
+            }
         });
         thread::spawn(move || {
             sleep(down);
             let mut life = server.life.lock().unwrap();
-            life.id = format!("i-{:08x}", random() as u32);
+            if !server.keeps_id.load(Ordering::SeqCst) {
+                life.id = format!("i-{:08x}", random() as u32);
+            }
             life.born = unix_ms();
             life.is_up = true;
             log(&format!("server {} of {} is back after {id}", life.id, server.info.service));
