--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -7,8 +7,8 @@
     standin::*,
     std::{
         collections::BTreeSet,
-        sync::{Arc, Mutex},
-        thread::sleep,
+        sync::{atomic::{AtomicBool, Ordering}, Arc, Mutex},
+        thread::{self, sleep},
         time::{Duration, Instant},
     },
 };
@@ -77,6 +77,24 @@
     if !owners.contains(&first) {
         left.push(first);
     }
+    // Bookings of other requesters, each with a path of its own.
+    let stop = Arc::new(AtomicBool::new(false));
+    let cut = Arc::new(Mutex::new((0, 0)));
+    let others: Vec<_> = left.iter().flat_map(|n| [*n, *n]).enumerate().map(|(n, host)| {
+        let (front, stop, cut) = (fleet.hosts[host].front, stop.clone(), cut.clone());
+        thread::spawn(move || {
+            let mut count = 0;
+            while !stop.load(Ordering::SeqCst) {
+                count += 1;
+                let seen = ask(front, "POST", &format!("/booking/other-{n}-{count}"), &new_id(), 6_000, BODY);
+                let mut cut = cut.lock().unwrap();
+                cut.0 += 1;
+                cut.1 += usize::from(seen.status() == 502);
+                drop(cut);
+                sleep(ms(100));
+            }
+        })
+    }).collect();
     let mut number = 1;
     while began.elapsed() < PLAY {
         let at = began + PAUSE * number as u32;
@@ -85,6 +103,10 @@
         send(host.front, &host.name, number);
         number += 1;
     }
+    stop.store(true, Ordering::SeqCst);
+    for other in others {
+        let _ = other.join();
+    }
     let ended = left.iter().any(|n| fleet.hosts[*n].has_ended());
     fleet.stop();
     if ended {
@@ -99,6 +121,8 @@
     let late: BTreeSet<&str> = runs.iter()
         .filter(|r| r.path == POISON && r.at_s > third + STABLE_WINDOW_S + 0.2)
         .map(|r| r.id.as_str()).collect();
+    let cut = *cut.lock().unwrap();
+    record!("other bookings: {} sent, {} lost with a server that ended while it ran them", cut.0, cut.1);
     record!("{} ends of servers, the third at {third:.1} s; begun at {begun:.1?}", begun.len());
     let line = format!("{} retries have reached servers later than 4 s after the third end", late.len());
     if late.len() > 3 {
--- a/review/standin-2/standin.rs
+++ b/review/standin-2/standin.rs
@@ -62,8 +62,14 @@
 #[macro_export]
 macro_rules! record { ($($arg:tt)*) => { $crate::standin::log(&format!($($arg)*)) } }
 
-/// Writes the last line and ends the script.
+/// Processes that the script has started and that may still run.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Writes the last line, ends the processes that still run, and ends the script.
 pub fn finish(code: i32, line: &str) -> ! {
+    for pid in STARTED.lock().unwrap().drain(..) {
+        unsafe { kill(pid as i32, SIGKILL) };
+    }
     log(line);
     println!("{line}");
     std::process::exit(code)
@@ -966,8 +972,15 @@
     line.trim_end_matches('"').split(' ').map(str::to_owned).collect()
 }
 
-fn free_port(ip: Ipv4Addr) -> u16 {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap().port()
+/// Removes a process that has ended from those to end.
+fn forget(pid: u32) {
+    STARTED.lock().unwrap().retain(|started| *started != pid);
+}
+
+/// Returns three free ports, which differ.
+fn free_ports(ip: Ipv4Addr) -> [u16; 3] {
+    let open = [0; 3].map(|_| TcpListener::bind((ip, 0)).expect("a free port"));
+    open.each_ref().map(|listener| listener.local_addr().unwrap().port())
 }
 
 /// Loopback addresses of this run, one for each machine.
@@ -987,6 +1000,11 @@
             unsafe { kill(child.id() as i32, signal) };
         }
     }
+    /// Lets the settings name another address of the store, before the start.
+    pub fn set_store(&self, store: SocketAddr, door: SocketAddr) {
+        let text = fs::read_to_string(&self.settings).expect("settings file");
+        fs::write(&self.settings, text.replace(&store.to_string(), &door.to_string())).expect("settings file");
+    }
     pub fn start(&mut self) {
         self.starts += 1;
         let log_file = File::create(self.folder.join(format!("{}-{}.log", self.name, self.starts))).unwrap();
@@ -1002,7 +1020,10 @@
             .stderr(log_file)
             .spawn();
         match child {
-            Ok(child) => self.child = Some(child),
+            Ok(child) => {
+                STARTED.lock().unwrap().push(child.id());
+                self.child = Some(child);
+            }
             Err(error) => finish(2, &format!("could not run: {} does not start: {error}", command[0])),
         }
     }
@@ -1013,11 +1034,17 @@
     }
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|c| c.try_wait().ok().flatten().is_some())
+        let Some(child) = self.child.as_mut() else { return false };
+        let has_ended = child.try_wait().ok().flatten().is_some();
+        if has_ended {
+            forget(child.id());
+        }
+        has_ended
     }
     pub fn wait(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.wait();
+            forget(child.id());
         }
     }
     pub fn is_ready(&self) -> bool {
@@ -1037,6 +1064,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            forget(child.id());
         }
     }
 }
@@ -1062,15 +1090,16 @@
         for (number, (zone, _)) in zones.iter().enumerate() {
             let ip = machine_ip(10 + number as u8);
             let addr = |port| SocketAddr::new(IpAddr::V4(ip), port);
+            let [front, ready, control] = free_ports(ip);
             let name = format!("front-{zone}-{}", number + 1);
             hosts.push(Host {
                 settings: folder.join(format!("{name}.json")),
                 folder: folder.clone(),
                 name,
                 ip,
-                front: addr(free_port(ip)),
-                ready: addr(free_port(ip)),
-                control: addr(free_port(ip)),
+                front: addr(front),
+                ready: addr(ready),
+                control: addr(control),
                 child: None,
                 starts: 0,
             });
