--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -8,7 +8,10 @@
     std::{
         collections::BTreeMap,
         net::TcpStream,
-        sync::{atomic::{AtomicBool, Ordering}, Arc, Mutex},
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc, Mutex,
+        },
         thread::{self, sleep},
     },
 };
@@ -19,7 +22,11 @@
 const LONG_HEAD: usize = 24_000;
 
 fn text(id: &str, path: &str, long: bool) -> Vec<u8> {
-    let cookie = if long { format!("Cookie: basket={}\r\n", "x".repeat(LONG_HEAD)) } else { String::new() };
+    let cookie = if long {
+        format!("Cookie: basket={}\r\n", "x".repeat(LONG_HEAD))
+    } else {
+        String::new()
+    };
     format!("GET {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 3000\r\n{cookie}\r\n").into_bytes()
 }
 
@@ -30,24 +37,50 @@
     let runs = Arc::new(Mutex::new(Vec::<Run>::new()));
     let mut servers = Vec::new();
     for number in 0..5 {
-        let decide: Arc<Decide> = Arc::new(|_: &Message, _: &ServerInfo| Act::Answer(ms(10 + random() % 40), b"record".to_vec()));
-        let info = ServerInfo { service: "vendor-portal".into(), zone: "piedmont-a".into(), number };
+        let decide: Arc<Decide> = Arc::new(|_: &Message, _: &ServerInfo| {
+            Act::Answer(ms(10 + random() % 40), b"record".to_vec())
+        });
+        let info = ServerInfo {
+            service: "vendor-portal".into(),
+            zone: "piedmont-a".into(),
+            number,
+        };
         servers.push(Server::start(&store, machine_ip(2), info, 4, &runs, decide));
     }
     let version = |version: u64, max_header: u64| {
         let route = RouteText {
-            name: "lookup", route_type: "safe", timeout_ms: 3_000, aim_ms: 1_000, attempts: 2, priority: 2,
+            name: "lookup",
+            route_type: "safe",
+            timeout_ms: 3_000,
+            aim_ms: 1_000,
+            attempts: 2,
+            priority: 2,
             target: "\"backend\":\"vendor-portal\"".into(),
         };
-        config(version, &[route], &[("vendor-portal".into(), 100)])
-            .replace("\"maxHeaderBytes\":16384", &format!("\"maxHeaderBytes\":{max_header}"))
+        config(version, &[route], &[("vendor-portal".into(), 100)]).replace(
+            "\"maxHeaderBytes\":16384",
+            &format!("\"maxHeaderBytes\":{max_header}"),
+        )
     };
-    store.put("op/config", &version(3, if trouble { 16_384 } else { 65_536 }));
-    let mut fleet = Fleet::new(&store, &[("piedmont-a", "piedmont"), ("piedmont-a", "piedmont"), ("piedmont-a", "piedmont")]);
+    store.put(
+        "op/config",
+        &version(3, if trouble { 16_384 } else { 65_536 }),
+    );
+    let mut fleet = Fleet::new(
+        &store,
+        &[
+            ("piedmont-a", "piedmont"),
+            ("piedmont-a", "piedmont"),
+            ("piedmont-a", "piedmont"),
+        ],
+    );
     fleet.start();
     sleep(ms(6_000));
     let fronts: Vec<_> = fleet.hosts.iter().map(|h| h.front).collect();
-    let (stop, long) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let (stop, long) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicBool::new(false)),
+    );
     let seen = Arc::new(Mutex::new(BTreeMap::<String, usize>::new()));
     let threads: Vec<_> = (0..REQUESTERS).map(|n| {
         let (front, stop, long, seen) = (fronts[n % fronts.len()], stop.clone(), long.clone(), seen.clone());
@@ -91,7 +124,9 @@
     sleep(ms(3_000));
     if trouble {
         store.put("op/config", &version(8, 65_536));
-        record!("the store acknowledges version 8, which raises maxHeaderBytes from 16,384 to 65,536");
+        record!(
+            "the store acknowledges version 8, which raises maxHeaderBytes from 16,384 to 65,536"
+        );
     }
     // Heads that only the new version allows are sent from configApplyMs and a second after the ack.
     sleep(ms(CONFIG_APPLY_MS + 1_000));
@@ -111,10 +146,16 @@
     for (what, count) in seen.iter() {
         record!("{count} x {what}");
     }
-    let denied: usize = seen.iter()
-        .filter(|(what, _)| what.rsplit(' ').next().and_then(|s| s.parse::<u16>().ok())
-            .is_some_and(|s| (300..500).contains(&s) && ![408, 421, 429].contains(&s)))
-        .map(|(_, count)| count).sum();
+    let denied: usize = seen
+        .iter()
+        .filter(|(what, _)| {
+            what.rsplit(' ')
+                .next()
+                .and_then(|s| s.parse::<u16>().ok())
+                .is_some_and(|s| (300..500).contains(&s) && ![408, 421, 429].contains(&s))
+        })
+        .map(|(_, count)| count)
+        .sum();
     let most = 5 + total / 500;
     let line = format!("{denied} of {total} requests were ended with a 3xx or 4xx of the system's own; the most is {most}");
     if denied > most {
--- a/review/standin-2/standin.rs
+++ b/review/standin-2/standin.rs
@@ -49,7 +49,9 @@
 
 /// Seconds since the record was opened.
 pub fn now_s() -> f64 {
-    RECORD.get().map_or(0.0, |(at, _)| at.elapsed().as_secs_f64())
+    RECORD
+        .get()
+        .map_or(0.0, |(at, _)| at.elapsed().as_secs_f64())
 }
 
 pub fn log(line: &str) {
@@ -92,7 +94,10 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 pub fn base64(bytes: &[u8]) -> String {
@@ -146,7 +151,9 @@
                         }
                         b',' => *p += 1,
                         _ => {
-                            let Json::Text(key) = Json::value(b, p)? else { return None };
+                            let Json::Text(key) = Json::value(b, p)? else {
+                                return None;
+                            };
                             Json::skip(b, p);
                             *p += 1; // the colon
                             table.push((key, Json::value(b, p)?));
@@ -210,7 +217,10 @@
     }
     pub fn get(&self, key: &str) -> &Json {
         match self {
-            Json::Table(table) => table.iter().find(|(k, _)| k == key).map_or(&Json::Null, |(_, v)| v),
+            Json::Table(table) => table
+                .iter()
+                .find(|(k, _)| k == key)
+                .map_or(&Json::Null, |(_, v)| v),
             _ => &Json::Null,
         }
     }
@@ -247,7 +257,9 @@
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
-        headers.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+        headers
+            .find(|(n, _)| n.eq_ignore_ascii_case(name))
+            .map(|(_, v)| v.as_str())
     }
     pub fn method(&self) -> &str {
         self.line.split(' ').next().unwrap_or("")
@@ -256,7 +268,11 @@
         self.line.split(' ').nth(1).unwrap_or("")
     }
     pub fn status(&self) -> u16 {
-        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        self.line
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -269,7 +285,10 @@
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
     fn fill(&mut self) -> io::Result<bool> {
         let mut chunk = [0; 16_384];
@@ -286,8 +305,14 @@
                 let mut lines = head.split("\r\n");
                 let line = lines.next().unwrap_or("").to_owned();
                 let headers = lines.filter_map(|l| l.split_once(':'));
-                let headers = headers.map(|(n, v)| (n.to_owned(), v.trim().to_owned())).collect();
-                return Ok(Some(Message { line, headers, body: Vec::new() }));
+                let headers = headers
+                    .map(|(n, v)| (n.to_owned(), v.trim().to_owned()))
+                    .collect();
+                return Ok(Some(Message {
+                    line,
+                    headers,
+                    body: Vec::new(),
+                }));
             }
             if !self.fill()? {
                 if self.buffer.is_empty() {
@@ -318,7 +343,9 @@
     }
     /// Reads the body that belongs to `head`, which is a response if `is_response`.
     pub fn body(&mut self, head: &Message, is_response: bool) -> io::Result<Vec<u8>> {
-        let chunked = head.header("transfer-encoding").is_some_and(|v| v.contains("chunked"));
+        let chunked = head
+            .header("transfer-encoding")
+            .is_some_and(|v| v.contains("chunked"));
         if chunked {
             let mut body = Vec::new();
             loop {
@@ -345,7 +372,9 @@
     /// Reads a whole request or response.
     pub fn message(&mut self, is_response: bool) -> io::Result<Option<Message>> {
         loop {
-            let Some(mut head) = self.head()? else { return Ok(None) };
+            let Some(mut head) = self.head()? else {
+                return Ok(None);
+            };
             if is_response && (100..200).contains(&head.status()) {
                 continue;
             }
@@ -388,10 +417,19 @@
 impl StoreState {
     fn write(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
-        let item = Item { value, revision: self.revision, created, lease };
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
+        let item = Item {
+            value,
+            revision: self.revision,
+            created,
+            lease,
+        };
         self.items.insert(key.to_owned(), item.clone());
-        self.log.push_back((self.revision, key.to_owned(), Some(item)));
+        self.log
+            .push_back((self.revision, key.to_owned(), Some(item)));
     }
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
@@ -401,7 +439,12 @@
     }
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
-        let keys: Vec<String> = self.items.iter().filter(|(_, i)| i.lease == lease).map(|(k, _)| k.clone()).collect();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, i)| i.lease == lease)
+            .map(|(k, _)| k.clone())
+            .collect();
         for key in keys {
             self.remove(&key);
         }
@@ -443,8 +486,15 @@
     pub fn start(ip: Ipv4Addr) -> Arc<Store> {
         let listener = TcpListener::bind((ip, 0)).expect("store");
         let addr = listener.local_addr().unwrap();
-        let state = StoreState { revision: 100, ..StoreState::default() };
-        let store = Arc::new(Store { state: Mutex::new(state), changed: Condvar::new(), addr });
+        let state = StoreState {
+            revision: 100,
+            ..StoreState::default()
+        };
+        let store = Arc::new(Store {
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            addr,
+        });
         let serving = Arc::clone(&store);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -457,7 +507,12 @@
             sleep(ms(50));
             let mut state = expiring.state.lock().unwrap();
             let now = Instant::now();
-            let ended: Vec<u64> = state.leases.iter().filter(|(_, (at, _))| *at <= now).map(|(l, _)| *l).collect();
+            let ended: Vec<u64> = state
+                .leases
+                .iter()
+                .filter(|(_, (at, _))| *at <= now)
+                .map(|(l, _)| *l)
+                .collect();
             for lease in ended {
                 state.end_lease(lease);
             }
@@ -466,7 +521,10 @@
         store
     }
     pub fn put(&self, key: &str, json: &str) {
-        self.state.lock().unwrap().write(key, base64(json.as_bytes()), 0);
+        self.state
+            .lock()
+            .unwrap()
+            .write(key, base64(json.as_bytes()), 0);
         self.changed.notify_all();
     }
     pub fn delete(&self, key: &str) {
@@ -475,20 +533,32 @@
     }
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.state.lock().unwrap();
-        state.items.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
+        state
+            .items
+            .keys()
+            .filter(|k| k.starts_with(prefix))
+            .cloned()
+            .collect()
     }
     fn serve(&self, stream: TcpStream) {
         let mut reader = Reader::new(stream);
         while let Ok(Some(request)) = reader.message(false) {
             let (status, body) = self.answer(&request);
-            let bytes = response(status, &[("Content-Type", "application/json".into())], body.as_bytes());
+            let bytes = response(
+                status,
+                &[("Content-Type", "application/json".into())],
+                body.as_bytes(),
+            );
             if reader.stream.write_all(&bytes).is_err() {
                 return;
             }
         }
     }
     fn answer(&self, request: &Message) -> (u16, String) {
-        let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
+        let (path, query) = request
+            .path()
+            .split_once('?')
+            .unwrap_or((request.path(), ""));
         let query: HashMap<String, String> = query
             .split('&')
             .filter_map(|p| p.split_once('='))
@@ -497,7 +567,9 @@
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
         let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
         let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
-        let Some(call) = path.strip_prefix("/greengagewharf/") else { return (404, "{}".into()) };
+        let Some(call) = path.strip_prefix("/greengagewharf/") else {
+            return (404, "{}".into());
+        };
         let mut state = self.state.lock().unwrap();
         if call == "kv-key" {
             let key = text("key");
@@ -508,17 +580,30 @@
         }
         if call == "kv-range" {
             let (prefix, after) = (text("prefix"), text("after"));
-            let items = state.items.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+            let items = state
+                .items
+                .iter()
+                .filter(|(k, _)| k.starts_with(&prefix) && **k > after);
             let mut rows: Vec<String> = items.map(|(k, i)| item_json(k, i)).collect();
             let more = rows.len() > 500;
             rows.truncate(500);
-            return (200, format!("{{\"items\":[{}],\"hasMore\":{more},\"currentRev\":{}}}", rows.join(","), state.revision));
+            return (
+                200,
+                format!(
+                    "{{\"items\":[{}],\"hasMore\":{more},\"currentRev\":{}}}",
+                    rows.join(","),
+                    state.revision
+                ),
+            );
         }
         if call == "kv-watch" {
             let (prefix, after) = (text("prefix"), number("after"));
             let until = Instant::now() + ms(number("waitMs").min(30_000));
             loop {
-                let events = state.log.iter().filter(|(r, k, _)| *r > after && k.starts_with(&prefix));
+                let events = state
+                    .log
+                    .iter()
+                    .filter(|(r, k, _)| *r > after && k.starts_with(&prefix));
                 let rows: Vec<String> = events
                     .map(|(r, k, item)| match item {
                         Some(item) => item_json(k, item),
@@ -527,20 +612,43 @@
                     .collect();
                 let now = Instant::now();
                 if !rows.is_empty() || now >= until {
-                    return (200, format!("{{\"events\":[{}],\"currentRev\":{}}}", rows.join(","), state.revision));
+                    return (
+                        200,
+                        format!(
+                            "{{\"events\":[{}],\"currentRev\":{}}}",
+                            rows.join(","),
+                            state.revision
+                        ),
+                    );
                 }
                 state = self.changed.wait_timeout(state, until - now).unwrap().0;
             }
         }
         if call == "kv-txn" {
             let held = |state: &StoreState, row: &Json| {
-                state.items.get(row.get("key").text()).map_or(0, |i| i.revision) == row.get("revision").number()
+                state
+                    .items
+                    .get(row.get("key").text())
+                    .map_or(0, |i| i.revision)
+                    == row.get("revision").number()
             };
-            if !body.get("expect").list().iter().all(|row| held(&state, row)) {
+            if !body
+                .get("expect")
+                .list()
+                .iter()
+                .all(|row| held(&state, row))
+            {
                 return (412, "{\"items\":[]}".into());
             }
-            let leases = body.get("writes").list().iter().map(|w| w.get("lease").number());
-            if leases.into_iter().any(|l| l != 0 && !state.leases.contains_key(&l)) {
+            let leases = body
+                .get("writes")
+                .list()
+                .iter()
+                .map(|w| w.get("lease").number());
+            if leases
+                .into_iter()
+                .any(|l| l != 0 && !state.leases.contains_key(&l))
+            {
                 return (404, "{}".into());
             }
             for write in body.get("writes").list() {
@@ -548,7 +656,11 @@
                 if key.starts_with("op/") || key.starts_with("servers/") {
                     return (403, "{}".into());
                 }
-                state.write(&key, write.get("value").text().to_owned(), write.get("lease").number());
+                state.write(
+                    &key,
+                    write.get("value").text().to_owned(),
+                    write.get("lease").number(),
+                );
             }
             for key in body.get("deletes").list() {
                 let key = key.text().to_owned();
@@ -562,9 +674,15 @@
             state.last_lease += 1;
             let lease = state.last_lease;
             state.leases.insert(lease, (Instant::now() + ttl, ttl));
-            return (200, format!("{{\"lease\":{lease},\"ttlMs\":{}}}", ttl.as_millis()));
+            return (
+                200,
+                format!("{{\"lease\":{lease},\"ttlMs\":{}}}", ttl.as_millis()),
+            );
         }
-        if let Some(lease) = call.strip_prefix("kv-keep/").and_then(|l| l.parse::<u64>().ok()) {
+        if let Some(lease) = call
+            .strip_prefix("kv-keep/")
+            .and_then(|l| l.parse::<u64>().ok())
+        {
             return match state.leases.get_mut(&lease) {
                 Some((at, ttl)) => {
                     *at = Instant::now() + *ttl;
@@ -573,7 +691,10 @@
                 None => (404, "{}".into()),
             };
         }
-        if let Some(lease) = call.strip_prefix("kv-lease-end/").and_then(|l| l.parse::<u64>().ok()) {
+        if let Some(lease) = call
+            .strip_prefix("kv-lease-end/")
+            .and_then(|l| l.parse::<u64>().ok())
+        {
             state.end_lease(lease);
             self.changed.notify_all();
             return (200, "{}".into());
@@ -710,7 +831,8 @@
         loop {
             let entry = {
                 let life = self.life.lock().unwrap();
-                life.is_up.then(|| (life.id.clone(), life.born, life.is_draining))
+                life.is_up
+                    .then(|| (life.id.clone(), life.born, life.is_draining))
             };
             if let Some((id, born, is_draining)) = entry {
                 if id != last_id {
@@ -800,7 +922,10 @@
             }
             life.born = unix_ms();
             life.is_up = true;
-            log(&format!("server {} of {} is back after {id}", life.id, server.info.service));
+            log(&format!(
+                "server {} of {} is back after {id}",
+                life.id, server.info.service
+            ));
         });
     }
     fn is_alive(&self, id: &str) -> bool {
@@ -855,7 +980,15 @@
                 has_run: false,
             };
             let refuse = |status: u16| {
-                response(status, &[("X-Request-Id", request_id.clone()), ("X-Not-Executed", "1".into()), ("Keep-Alive", "timeout=10".into())], b"")
+                response(
+                    status,
+                    &[
+                        ("X-Request-Id", request_id.clone()),
+                        ("X-Not-Executed", "1".into()),
+                        ("Keep-Alive", "timeout=10".into()),
+                    ],
+                    b"",
+                )
             };
             let refused = if request_id.is_empty() {
                 Some(400)
@@ -888,11 +1021,18 @@
             run.has_run = true;
             let act = (self.decide)(&request, &self.info);
             if !matches!(act, Act::Answer(..)) {
-                log(&format!("server {id} of {} begins to run {request_id} {}", self.info.service, request.path()));
+                log(&format!(
+                    "server {id} of {} begins to run {request_id} {}",
+                    self.info.service,
+                    request.path()
+                ));
             }
             self.runs.lock().unwrap().push(run);
             let time = match &act {
-                Act::Answer(time, _) | Act::Raw(time, _) | Act::Crash(time, _) | Act::Close(time) => *time,
+                Act::Answer(time, _)
+                | Act::Raw(time, _)
+                | Act::Crash(time, _)
+                | Act::Close(time) => *time,
                 Act::RawThen(time, ..) => *time,
             };
             let is_wanted = self.work(&reader.stream, id, time);
@@ -906,7 +1046,10 @@
             self.free.notify_one();
             if !is_wanted {
                 if !matches!(act, Act::Answer(..)) {
-                    log(&format!("server {id} of {} drops {request_id}", self.info.service));
+                    log(&format!(
+                        "server {id} of {} drops {request_id}",
+                        self.info.service
+                    ));
                 }
                 return;
             }
@@ -916,7 +1059,10 @@
                     &[
                         ("X-Request-Id", request_id.clone()),
                         ("X-Server-Stamp", stamp(id, &request_id)),
-                        ("X-Server-Load", format!("{running},{waiting},{}", self.slots)),
+                        (
+                            "X-Server-Load",
+                            format!("{running},{waiting},{}", self.slots),
+                        ),
                         ("Keep-Alive", "timeout=10".into()),
                     ],
                     &body,
@@ -967,9 +1113,16 @@
 
 /// The command of the role in the deploy file.
 pub fn deploy_command() -> Vec<String> {
-    let text = fs::read_to_string(repository().join("deploy/system.toml")).expect("deploy/system.toml");
-    let line = text.lines().find_map(|l| l.strip_prefix("run = \"")).expect("run");
-    line.trim_end_matches('"').split(' ').map(str::to_owned).collect()
+    let text =
+        fs::read_to_string(repository().join("deploy/system.toml")).expect("deploy/system.toml");
+    let line = text
+        .lines()
+        .find_map(|l| l.strip_prefix("run = \""))
+        .expect("run");
+    line.trim_end_matches('"')
+        .split(' ')
+        .map(str::to_owned)
+        .collect()
 }
 
 /// Removes a process that has ended from those to end.
@@ -980,7 +1133,8 @@
 /// Returns three free ports, which differ.
 fn free_ports(ip: Ipv4Addr) -> [u16; 3] {
     let open = [0; 3].map(|_| TcpListener::bind((ip, 0)).expect("a free port"));
-    open.each_ref().map(|listener| listener.local_addr().unwrap().port())
+    open.each_ref()
+        .map(|listener| listener.local_addr().unwrap().port())
 }
 
 /// Loopback addresses of this run, one for each machine.
@@ -1003,11 +1157,19 @@
     /// Lets the settings name another address of the store, before the start.
     pub fn set_store(&self, store: SocketAddr, door: SocketAddr) {
         let text = fs::read_to_string(&self.settings).expect("settings file");
-        fs::write(&self.settings, text.replace(&store.to_string(), &door.to_string())).expect("settings file");
+        fs::write(
+            &self.settings,
+            text.replace(&store.to_string(), &door.to_string()),
+        )
+        .expect("settings file");
     }
     pub fn start(&mut self) {
         self.starts += 1;
-        let log_file = File::create(self.folder.join(format!("{}-{}.log", self.name, self.starts))).unwrap();
+        let log_file = File::create(
+            self.folder
+                .join(format!("{}-{}.log", self.name, self.starts)),
+        )
+        .unwrap();
         let command = deploy_command();
         let child = Command::new(repository().join(&command[0]))
             .args(&command[1..])
@@ -1024,17 +1186,24 @@
                 STARTED.lock().unwrap().push(child.id());
                 self.child = Some(child);
             }
-            Err(error) => finish(2, &format!("could not run: {} does not start: {error}", command[0])),
+            Err(error) => finish(
+                2,
+                &format!("could not run: {} does not start: {error}", command[0]),
+            ),
         }
     }
     /// Returns whether the process has written a line with these words.
     pub fn has_logged(&self, words: &str) -> bool {
-        let path = self.folder.join(format!("{}-{}.log", self.name, self.starts));
+        let path = self
+            .folder
+            .join(format!("{}-{}.log", self.name, self.starts));
         fs::read_to_string(path).is_ok_and(|text| text.contains(words))
     }
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
-        let Some(child) = self.child.as_mut() else { return false };
+        let Some(child) = self.child.as_mut() else {
+            return false;
+        };
         let has_ended = child.try_wait().ok().flatten().is_some();
         if has_ended {
             forget(child.id());
@@ -1048,10 +1217,15 @@
         }
     }
     pub fn is_ready(&self) -> bool {
-        let Ok(stream) = TcpStream::connect_timeout(&self.ready, ms(500)) else { return false };
+        let Ok(stream) = TcpStream::connect_timeout(&self.ready, ms(500)) else {
+            return false;
+        };
         let _ = stream.set_read_timeout(Some(ms(500)));
         let mut reader = Reader::new(stream);
-        let text = format!("GET /greengagewharf/ready HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.ready);
+        let text = format!(
+            "GET /greengagewharf/ready HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
+            self.ready
+        );
         if reader.stream.write_all(text.as_bytes()).is_err() {
             return false;
         }
@@ -1104,8 +1278,15 @@
                 starts: 0,
             });
         }
-        let seeds: Vec<String> = hosts.iter().take(3).map(|h| format!("\"{}\"", h.control)).collect();
-        let mut table: Vec<String> = zones.iter().map(|(z, r)| format!("\"{z}\":\"{r}\"")).collect();
+        let seeds: Vec<String> = hosts
+            .iter()
+            .take(3)
+            .map(|h| format!("\"{}\"", h.control))
+            .collect();
+        let mut table: Vec<String> = zones
+            .iter()
+            .map(|(z, r)| format!("\"{z}\":\"{r}\""))
+            .collect();
         table.sort();
         table.dedup();
         for (host, (zone, region)) in hosts.iter().zip(zones) {
@@ -1226,16 +1407,35 @@
 }
 
 /// Sends a request on a connection of its own and waits until its time limit.
-pub fn ask(addr: SocketAddr, method: &str, path: &str, id: &str, deadline_ms: u64, body: &[u8]) -> Seen {
-    let Ok(stream) = TcpStream::connect_timeout(&addr, ms(1_000)) else { return Seen::NoConnection };
+pub fn ask(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    body: &[u8],
+) -> Seen {
+    let Ok(stream) = TcpStream::connect_timeout(&addr, ms(1_000)) else {
+        return Seen::NoConnection;
+    };
     let mut reader = Reader::new(stream);
     ask_on(&mut reader, method, path, id, deadline_ms, body)
 }
 
 /// Sends a request on a kept connection.
-pub fn ask_on(reader: &mut Reader, method: &str, path: &str, id: &str, deadline_ms: u64, body: &[u8]) -> Seen {
+pub fn ask_on(
+    reader: &mut Reader,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    body: &[u8],
+) -> Seen {
     let _ = reader.stream.set_read_timeout(Some(ms(deadline_ms + 100)));
-    if let Err(error) = reader.stream.write_all(&request_text(method, path, id, deadline_ms, body)) {
+    if let Err(error) = reader
+        .stream
+        .write_all(&request_text(method, path, id, deadline_ms, body))
+    {
         return Seen::Nothing(format!("write: {error}"));
     }
     match reader.message(true) {
