--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -135,7 +135,7 @@
                     cut.0 += 1;
                     cut.1 += usize::from(seen.status() == 502);
                     drop(cut);
-                    sleep(ms(100));
+                    sleep(ms(360));
                 }
             })
         })
